--- /dev/null
+++ b/packages/cli/src/bin/vmux.ts
@@ -0,0 +1,225 @@
+import {SettleOutcome} from '@vanillamux/control';
+import {RecordKind} from '@vanillamux/protocol';
+import {loadSettings, VERSION} from '@vanillamux/shared';
+import {cac} from 'cac';
+import type {CommandContext} from '../command_context.js';
+import {applyCommand} from '../commands/apply_command.js';
+import {backendsCommand} from '../commands/backends_command.js';
+import {explainCommand} from '../commands/explain_command.js';
+import {getCommand} from '../commands/get_command.js';
+import {historyCommand, rollbackCommand} from '../commands/history_command.js';
+import {
+  listMembersCommand,
+  removeMemberCommand,
+} from '../commands/members_command.js';
+import {planCommand} from '../commands/plan_command.js';
+import {
+  exportRecordCommand,
+  verifyRecordCommand,
+} from '../commands/record_command.js';
+import {requestsCommand} from '../commands/requests_command.js';
+import {registerCommand, settleCommand} from '../commands/settle_command.js';
+import {statusCommand} from '../commands/status_command.js';
+import {timelineCommand} from '../commands/timeline_command.js';
+import {ExitCode} from '../exit_code.js';
+import {loadDeclarations} from '../load_declarations.js';
+import {operatorSettingsSchema} from '../operator_settings_schema.js';
+import {OperatorSession} from '../operator_session.js';
+import {OutputFormat} from '../output_format.js';
+
+/** Flags that every command takes. */
+interface CommonFlags {
+  readonly config: string;
+  readonly output: string;
+}
+
+type Action = (ctx: CommandContext) => Promise<ExitCode>;
+
+const DEFAULT_LIMIT = 50;
+const cli = cac('vmux');
+cli.option('--config <file>', 'Operator settings with the host addresses', {
+  default: 'vmux.yaml',
+});
+cli.option('--output <format>', 'table or json', {default: OutputFormat.Table});
+
+cli
+  .command('plan', 'Show what apply would change')
+  .option('-f, --file <path>', 'File or folder of declarations')
+  .action((flags: CommonFlags & {file?: string}) =>
+    withFile(flags, flags.file, (ctx, path) => planCommand(ctx, path)),
+  );
+cli
+  .command('apply', 'Put declarations in force')
+  .option('-f, --file <path>', 'File or folder of declarations')
+  .option('--expect <version>', 'Version that the change is based on')
+  .option('--command-id <id>', 'Id of an earlier call whose answer was lost')
+  .action(
+    (
+      flags: CommonFlags & {file?: string; expect?: number; commandId?: string},
+    ) =>
+      withFile(flags, flags.file, (ctx, path) =>
+        applyCommand(ctx, path, flags),
+      ),
+  );
+cli
+  .command('lint', 'Check declarations without a connection')
+  .option('-f, --file <path>', 'File or folder of declarations')
+  .action((flags: {file?: string}) => lint(flags.file));
+cli
+  .command('get [list]', 'Show the declarations in force, or one list of them')
+  .action((list: string | undefined, flags: CommonFlags) =>
+    run(flags, ctx => getCommand(ctx, list)),
+  );
+cli
+  .command('history', 'List recent versions of the declarations')
+  .action((flags: CommonFlags) => run(flags, historyCommand));
+cli
+  .command('rollback <version>', 'Put an earlier version in force as a new one')
+  .action((version: string, flags: CommonFlags) =>
+    run(flags, ctx => rollbackCommand(ctx, Number(version))),
+  );
+cli
+  .command('status', 'Show every host with its role and version in force')
+  .action((flags: CommonFlags) => run(flags, statusCommand));
+cli
+  .command('backends', 'List the backend servers')
+  .action((flags: CommonFlags) => run(flags, backendsCommand));
+cli
+  .command('requests', 'List what was admitted, refused and completed')
+  .option('--workspace <name>', 'Only this workspace')
+  .option('--kind <kind>', Object.values(RecordKind).join(', '))
+  .option('--key <key>', 'Only this idempotency key')
+  .option('--limit <count>', 'Most entries per control host', {
+    default: DEFAULT_LIMIT,
+  })
+  .action(
+    (
+      flags: CommonFlags & {
+        workspace?: string;
+        kind?: RecordKind;
+        key?: string;
+        limit: number;
+      },
+    ) =>
+      run(flags, ctx =>
+        requestsCommand(ctx, {
+          workspace: flags.workspace,
+          kind: flags.kind,
+          idempotencyKey: flags.key,
+          limit: flags.limit,
+        }),
+      ),
+  );
+cli
+  .command('explain <request>', 'Tell what happened to a request, and why')
+  .action((request: string, flags: CommonFlags) =>
+    run(flags, ctx => explainCommand(ctx, request)),
+  );
+cli
+  .command('register', 'List at-most-once requests with unknown outcome')
+  .option('--all', 'List the settled ones too')
+  .action((flags: CommonFlags & {all?: boolean}) =>
+    run(flags, ctx => registerCommand(ctx, flags.all === true)),
+  );
+cli
+  .command('settle <request> <outcome>', 'Settle an unknown outcome')
+  .example('vmux settle entry-a-6f0e done')
+  .action((request: string, outcome: string, flags: CommonFlags) => {
+    const known = Object.values(SettleOutcome).find(item => item === outcome);
+    if (!known || known === SettleOutcome.Unknown) {
+      return exit(ExitCode.BadInput, 'outcome: expected done or not_run');
+    }
+    return run(flags, ctx => settleCommand(ctx, request, known));
+  });
+cli
+  .command('record <action>', 'verify: check every chain; export: JSON lines')
+  .action((action: string, flags: CommonFlags) => {
+    if (action === 'verify') return run(flags, verifyRecordCommand);
+    if (action === 'export') return run(flags, exportRecordCommand);
+    return exit(ExitCode.BadInput, 'action: expected verify or export');
+  });
+cli
+  .command('control <object> [action] [id]', 'control members [remove ID]')
+  .action(
+    (
+      object: string,
+      action: string | undefined,
+      id: string | undefined,
+      flags: CommonFlags,
+    ) => {
+      if (object === 'members' && !action)
+        return run(flags, listMembersCommand);
+      if (object === 'members' && action === 'remove' && id) {
+        return run(flags, ctx => removeMemberCommand(ctx, id));
+      }
+      return exit(ExitCode.BadInput, 'expected members or members remove ID');
+    },
+  );
+cli
+  .command('timeline', 'Merge the events of all processes')
+  .option('--request <id>', 'Only this request')
+  .option('--host <host>', 'Only this host')
+  .option('--kind <kind>', 'Only this kind')
+  .action(
+    (flags: CommonFlags & {request?: string; host?: string; kind?: string}) =>
+      run(flags, ctx => timelineCommand(ctx, flags)),
+  );
+cli.help(sections => [
+  ...sections,
+  {
+    title: 'Exit codes',
+    body: '  0 ok, 1 failed, 2 bad input, 3 conflict, 4 not found, 5 record faulty',
+  },
+]);
+cli.version(VERSION);
+main();
+
+function main(): void {
+  try {
+    cli.parse(process.argv, {run: false});
+    if (!cli.matchedCommand) {
+      if (cli.options['help'] || cli.options['version']) return;
+      cli.outputHelp();
+      process.exitCode = ExitCode.BadInput;
+      return;
+    }
+    void cli.runMatchedCommand();
+  } catch (error) {
+    exit(ExitCode.BadInput, (error as Error).message);
+  }
+}
+
+async function run(flags: CommonFlags, action: Action): Promise<void> {
+  const output = Object.values(OutputFormat).find(
+    format => format === flags.output,
+  );
+  if (!output) return exit(ExitCode.BadInput, 'output: expected table or json');
+  const settings = await loadSettings(flags.config, operatorSettingsSchema);
+  if (!settings.ok) return exit(ExitCode.BadInput, settings.error.message);
+  const session = new OperatorSession(settings.value);
+  const code = await action({session, output});
+  session.close();
+  exit(code);
+}
+
+async function withFile(
+  flags: CommonFlags,
+  file: string | undefined,
+  action: (ctx: CommandContext, path: string) => Promise<ExitCode>,
+): Promise<void> {
+  if (!file) return exit(ExitCode.BadInput, 'name declarations with -f PATH');
+  return run(flags, ctx => action(ctx, file));
+}
+
+async function lint(file: string | undefined): Promise<void> {
+  if (!file) return exit(ExitCode.BadInput, 'name declarations with -f PATH');
+  const loaded = await loadDeclarations(file);
+  if (!loaded.ok) return exit(ExitCode.BadInput, loaded.error.message);
+  process.stdout.write('No faults found.\n');
+  exit(ExitCode.Ok);
+}
+
+function exit(code: ExitCode, message?: string): void {
+  if (message) process.stderr.write(`${message}\n`);
+  process.exitCode = code;
+}
--- /dev/null
+++ b/packages/cli/src/commands/get_command.ts
@@ -0,0 +1,43 @@
+import type {CommandContext} from '../command_context.js';
+import {ExitCode} from '../exit_code.js';
+import {OutputFormat} from '../output_format.js';
+import {printRows, type Row} from '../print_rows.js';
+import {reportError} from '../report_error.js';
+import {stringify} from 'yaml';
+
+/** Shows the declarations in force, or one list of them. */
+export async function getCommand(
+  {session, output}: CommandContext,
+  section?: string,
+): Promise<ExitCode> {
+  const current = await session.control.callLeader((api, signal) =>
+    api.declarations.current.query(undefined, {signal}),
+  );
+  if (!current.ok) return reportError(current.error);
+  const {document, version} = current.value;
+  if (!section) {
+    const text =
+      output === OutputFormat.Json
+        ? `${JSON.stringify({version, document}, undefined, 2)}\n`
+        : `# version ${version}\n${stringify(document)}`;
+    process.stdout.write(text);
+    return ExitCode.Ok;
+  }
+  const items = (document as Record<string, object[]>)[section];
+  if (!items) {
+    const known = Object.keys(document).join(', ');
+    process.stderr.write(`No list "${section}"; there are: ${known}\n`);
+    return ExitCode.BadInput;
+  }
+  printRows(items.map(toRow), output);
+  return ExitCode.Ok;
+}
+
+function toRow(item: object): Row {
+  return Object.fromEntries(
+    Object.entries(item).map(([name, value]) => [
+      name,
+      typeof value === 'object' ? JSON.stringify(value) : value,
+    ]),
+  ) as Row;
+}
--- /dev/null
+++ b/packages/cli/src/commands/status_command.ts
@@ -0,0 +1,56 @@
+import type {EntryStatus} from '@vanillamux/entry';
+import type {CommandContext} from '../command_context.js';
+import {ExitCode} from '../exit_code.js';
+import {printRows, type Row} from '../print_rows.js';
+
+/** Shows every control and entry host with its role and version in force. */
+export async function statusCommand({
+  session,
+  output,
+}: CommandContext): Promise<ExitCode> {
+  const control = await session.control.callAll(async (api, signal) => {
+    const [group, feed] = await Promise.all([
+      api.group.status.query(undefined, {signal}),
+      api.declarations.wait.query({haveVersion: 0, waitMs: 0}, {signal}),
+    ]);
+    return {group, version: feed.version};
+  });
+  const entries = await session.callEntries<EntryStatus>((api, signal) =>
+    api.status.query(undefined, {signal}),
+  );
+  const rows: Row[] = [
+    ...control.map(({address, result}) => ({
+      host: result.ok
+        ? hostOf(result.value.group.selfId)
+        : `${address.host}:${address.port}`,
+      kind: 'control',
+      state: result.ok ? result.value.group.role : 'unreachable',
+      version: result.ok ? result.value.version : '',
+      detail: result.ok
+        ? `term ${result.value.group.term}, applied ${result.value.group.appliedIndex}`
+        : result.error.message,
+    })),
+    ...entries.map(({address, result}) => ({
+      host: result.ok ? result.value.id : `${address.host}:${address.port}`,
+      kind: 'entry',
+      state: result.ok ? describeState(result.value) : 'unreachable',
+      version: result.ok ? result.value.version : '',
+      detail: result.ok
+        ? `${result.value.backends} backends, ${result.value.inFlight} in flight, ${result.value.undeliveredRecords} records undelivered`
+        : result.error.message,
+    })),
+  ];
+  printRows(rows, output);
+  return rows.some(({state}) => state === 'unreachable')
+    ? ExitCode.Failed
+    : ExitCode.Ok;
+}
+
+function hostOf(memberId: string): string {
+  return memberId.split('/')[0] ?? memberId;
+}
+
+function describeState({isReady, isStale}: EntryStatus): string {
+  if (!isReady) return 'not ready';
+  return isStale ? 'ready, stale' : 'ready';
+}
--- /dev/null
+++ b/packages/cli/src/diff_declarations.ts
@@ -0,0 +1,16 @@
+import type {Declarations} from '@vanillamux/protocol';
+import {createTwoFilesPatch} from 'diff';
+import {stringify} from 'yaml';
+
+/** Renders the difference of two documents as a unified diff. */
+export function diffDeclarations(
+  before: Declarations,
+  after: Declarations,
+  beforeName: string,
+  afterName: string,
+): string {
+  const left = stringify(before);
+  const right = stringify(after);
+  if (left === right) return '';
+  return createTwoFilesPatch(beforeName, afterName, left, right);
+}
--- /dev/null
+++ b/packages/cli/src/operator_session.ts
@@ -0,0 +1,97 @@
+import {ControlClient} from '@vanillamux/control';
+import type {EntryRouter} from '@vanillamux/entry';
+import {RpcClient} from '@vanillamux/rpc';
+import {
+  verifyChain,
+  type ChainFault,
+  type RecordEntry,
+} from '@vanillamux/protocol';
+import type {Address, Result} from '@vanillamux/shared';
+import type {OperatorSettings} from './operator_settings.js';
+
+const MAX_QUERY_ENTRIES = 10_000;
+
+/** Selects entries of the record. */
+export interface RecordQuery {
+  readonly requestId?: string;
+  readonly workspace?: string;
+  readonly kind?: RecordEntry['kind'];
+  readonly idempotencyKey?: string;
+  readonly limit?: number;
+}
+
+/** The record as far as the reachable hosts hold it. */
+export interface CollectedRecord {
+  readonly entries: RecordEntry[];
+  /** Control hosts whose part is missing. */
+  readonly missing: Address[];
+}
+
+/** An operator's connections to the system. */
+export class OperatorSession {
+  readonly control: ControlClient;
+  readonly entries: Array<RpcClient<EntryRouter>>;
+
+  constructor(readonly settings: OperatorSettings) {
+    this.control = new ControlClient(settings.control);
+    this.entries = settings.entries.map(
+      address => new RpcClient<EntryRouter>({address}),
+    );
+  }
+
+  /** Joins the record of all control hosts, in the order of time. */
+  async collectRecord(query: RecordQuery): Promise<CollectedRecord> {
+    const answers = await this.control.callAll((api, signal) =>
+      api.record.query.query(query, {signal}),
+    );
+    const found = answers.flatMap(({result}) =>
+      result.ok ? result.value : [],
+    );
+    const unique = new Map(
+      found.map(entry => [`${entry.chain}#${entry.sequence}`, entry]),
+    );
+    return {
+      entries: [...unique.values()].sort((a, b) => (a.at < b.at ? -1 : 1)),
+      missing: answers
+        .filter(({result}) => !result.ok)
+        .map(({address}) => address),
+    };
+  }
+
+  /** Collects every chain and checks it. */
+  async verifyRecord(): Promise<{
+    readonly chains: number;
+    readonly entries: number;
+    readonly faults: ChainFault[];
+    readonly missing: Address[];
+  }> {
+    const {entries, missing} = await this.collectRecord({
+      limit: MAX_QUERY_ENTRIES,
+    });
+    const chains = new Map<string, RecordEntry[]>();
+    for (const entry of entries) {
+      const chain = chains.get(entry.chain) ?? [];
+      chain.push(entry);
+      chains.set(entry.chain, chain);
+    }
+    const faults = [...chains.values()].flatMap(chain => verifyChain(chain));
+    return {chains: chains.size, entries: entries.length, faults, missing};
+  }
+
+  /** Calls every entry host. */
+  async callEntries<T>(
+    run: Parameters<RpcClient<EntryRouter>['call']>[0],
+  ): Promise<Array<{readonly address: Address; readonly result: Result<T>}>> {
+    return Promise.all(
+      this.entries.map(async client => ({
+        address: client.address,
+        result: (await client.call(run)) as Result<T>,
+      })),
+    );
+  }
+
+  close(): void {
+    this.control.close();
+    for (const client of this.entries) client.close();
+  }
+}
--- /dev/null
+++ b/packages/cli/src/output_format.ts
@@ -0,0 +1,5 @@
+/** How `vmux` prints results. */
+export enum OutputFormat {
+  Table = 'table',
+  Json = 'json',
+}
--- /dev/null
+++ b/packages/consensus/src/leader.ts
@@ -0,0 +1,168 @@
+import {monotonicMs, sleep} from '@vanillamux/shared';
+import type {EntryKind} from './entry_kind.js';
+import type {LogEntry} from './log_entry.js';
+import type {Member} from './member.js';
+import {quorumOf} from './quorum_of.js';
+import {RaftRole} from './raft_role.js';
+import type {RaftState} from './raft_state.js';
+import type {RaftTiming} from './raft_timing.js';
+import type {RaftTransport} from './raft_transport.js';
+import {Replicator} from './replicator.js';
+import type {Snapshot} from './snapshot.js';
+
+/** A lease ends earlier than followers may vote, to allow for clock drift. */
+const LEASE_FRACTION = 0.9;
+
+/** What a leader needs of the node that it runs in. */
+export interface LeaderOptions {
+  readonly state: RaftState;
+  readonly transport: RaftTransport;
+  readonly timing: RaftTiming;
+  readonly readSnapshot: () => Promise<Snapshot>;
+  readonly onCommit: () => void;
+}
+
+interface RunningReplicator {
+  readonly replicator: Replicator;
+  readonly stopping: AbortController;
+}
+
+/** One term of leadership: one task per peer and the leader's lease. */
+export class Leader {
+  readonly term: number;
+  private readonly stopping = new AbortController();
+  private readonly replicators = new Map<string, RunningReplicator>();
+  private durableIndex = 0;
+  private readonly startedMs = monotonicMs();
+
+  constructor(private readonly options: LeaderOptions) {
+    this.term = options.state.term;
+  }
+
+  /** Starts the tasks. */
+  start(): void {
+    this.updatePeers();
+    void this.watchLease();
+  }
+
+  /** Ends the tasks. */
+  stop(): void {
+    this.stopping.abort();
+  }
+
+  /** Appends an entry and starts its replication. */
+  append(kind: EntryKind, data: string): LogEntry {
+    const {state} = this.options;
+    const index = state.log.lastIndex + 1;
+    const entry: LogEntry = {index, term: this.term, kind, data};
+    state.log.put(entry);
+    state.storage.appendEntry(entry);
+    this.notifyPeers();
+    void state.storage.sync().then(() => this.onDurable(index));
+    return entry;
+  }
+
+  /** Starts tasks for new peers and ends those of removed ones. */
+  updatePeers(): void {
+    const {state} = this.options;
+    const peers = state.members.filter(({id}) => id !== state.selfId);
+    for (const peer of peers) {
+      if (!this.replicators.has(peer.id)) this.startReplicator(peer);
+    }
+    for (const [id, {stopping}] of this.replicators) {
+      if (peers.some(peer => peer.id === id)) continue;
+      stopping.abort();
+      this.replicators.delete(id);
+    }
+  }
+
+  /** Last index that the peer is known to hold. */
+  matchIndexOf(memberId: string): number {
+    return this.replicators.get(memberId)?.replicator.matchIndex ?? 0;
+  }
+
+  /** Milliseconds since the peer last answered. */
+  silenceOf(memberId: string): number {
+    const contactMs = this.contactOf(memberId);
+    return monotonicMs() - Math.max(contactMs, this.startedMs);
+  }
+
+  /** Whether no other member can have become leader. */
+  holdsLease(): boolean {
+    const leaseMs = this.options.timing.electionMinMs * LEASE_FRACTION;
+    return monotonicMs() - this.quorumContactMs() < leaseMs;
+  }
+
+  private startReplicator(peer: Member): void {
+    const replicator = new Replicator({
+      ...this.options,
+      peer,
+      term: this.term,
+      onProgress: () => this.advanceCommit(),
+    });
+    const stopping = new AbortController();
+    this.replicators.set(peer.id, {replicator, stopping});
+    const signal = AbortSignal.any([this.stopping.signal, stopping.signal]);
+    void replicator.run(signal);
+  }
+
+  /** Check-quorum: a leader that hears no quorum steps down by itself. */
+  private async watchLease(): Promise<void> {
+    const {state, timing} = this.options;
+    const {signal} = this.stopping;
+    while (!signal.aborted) {
+      await sleep(timing.heartbeatMs, signal);
+      if (signal.aborted) return;
+      const contactMs = Math.max(this.quorumContactMs(), this.startedMs);
+      const silentMs = monotonicMs() - contactMs;
+      if (silentMs < timing.electionMaxMs) continue;
+      state.leaderHeardMs = monotonicMs();
+      state.become(RaftRole.Follower);
+      state.leaderId = undefined;
+    }
+  }
+
+  private onDurable(index: number): void {
+    if (this.stopping.signal.aborted) return;
+    this.durableIndex = Math.max(this.durableIndex, index);
+    this.advanceCommit();
+  }
+
+  private advanceCommit(): void {
+    const {state} = this.options;
+    if (this.stopping.signal.aborted) return;
+    const matches = state.voters
+      .map(({id}) =>
+        id === state.selfId ? this.durableIndex : this.matchIndexOf(id),
+      )
+      .sort((a, b) => b - a);
+    const index = matches[quorumOf(state.members) - 1] ?? 0;
+    if (index <= state.commitIndex) return;
+    // Only entries of the present term are committed by counting replicas
+    // (Ongaro and Ousterhout, 2014, section 5.4.2).
+    if (state.log.termAt(index) !== this.term) return;
+    state.commitIndex = index;
+    this.notifyPeers();
+    this.options.onCommit();
+  }
+
+  private notifyPeers(): void {
+    for (const {replicator} of this.replicators.values()) replicator.notify();
+  }
+
+  private contactOf(memberId: string): number {
+    const {selfId} = this.options.state;
+    if (memberId === selfId) return monotonicMs();
+    const running = this.replicators.get(memberId);
+    return running?.replicator.contactMs ?? Number.NEGATIVE_INFINITY;
+  }
+
+  /** Latest time at which a quorum is known to have followed this leader. */
+  private quorumContactMs(): number {
+    const {state} = this.options;
+    const contacts = state.voters
+      .map(({id}) => this.contactOf(id))
+      .sort((a, b) => b - a);
+    return contacts[quorumOf(state.members) - 1] ?? Number.NEGATIVE_INFINITY;
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/log_entry_schema.ts
@@ -0,0 +1,11 @@
+import {z} from 'zod';
+import {EntryKind} from './entry_kind.js';
+
+/** One entry of the replicated log. */
+export const logEntrySchema = z.object({
+  index: z.number().int(),
+  term: z.number().int(),
+  kind: z.nativeEnum(EntryKind),
+  /** Serialized command or member list. */
+  data: z.string(),
+});
--- /dev/null
+++ b/packages/consensus/src/raft_node.ts
@@ -0,0 +1,341 @@
+import {
+  ErrorCodes,
+  EventBus,
+  fail,
+  getLogger,
+  invariant,
+  monotonicMs,
+  succeed,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import type {Stream} from 'most';
+import {Elector} from './elector.js';
+import {EntryKind} from './entry_kind.js';
+import {Follower} from './follower.js';
+import type {GroupStatus} from './group_status.js';
+import {Leader} from './leader.js';
+import type {Member} from './member.js';
+import {MemberRole} from './member_role.js';
+import type {
+  AppendReply,
+  AppendRequest,
+  SnapshotReply,
+  SnapshotRequest,
+  VoteReply,
+  VoteRequest,
+} from './messages.js';
+import {Proposals} from './proposals.js';
+import {RaftRole} from './raft_role.js';
+import {RaftState} from './raft_state.js';
+import type {RecoveredState} from './raft_storage.js';
+import {DEFAULT_TIMING, type RaftTiming} from './raft_timing.js';
+import type {RaftTransport} from './raft_transport.js';
+import type {Snapshot} from './snapshot.js';
+import type {StateMachine} from './state_machine.js';
+import {Voter} from './voter.js';
+
+const DEFAULT_SNAPSHOT_ENTRIES = 8_192;
+const DEFAULT_TRAILING_ENTRIES = 1_024;
+const MAX_PROPOSALS = 16_384;
+
+const log = getLogger('consensus');
+
+/** Options of a `RaftNode`. */
+export interface RaftNodeOptions {
+  readonly selfId: string;
+  readonly recovered: RecoveredState;
+  readonly transport: RaftTransport;
+  readonly machine: StateMachine;
+  readonly timing?: RaftTiming;
+  /** Entries after which a snapshot is taken. */
+  readonly snapshotEntries?: number;
+  /** Entries kept before a snapshot, for members that lag a little. */
+  readonly trailingEntries?: number;
+}
+
+/**
+ * A member of a group that replicates a log by quorum with the Raft algorithm
+ * (Ongaro, 2014): pre-vote, check-quorum, leader lease, learners and snapshots.
+ */
+export class RaftNode {
+  private readonly state: RaftState;
+  private readonly machine: StateMachine;
+  private readonly timing: RaftTiming;
+  private readonly elector: Elector;
+  private readonly voter: Voter;
+  private readonly follower: Follower;
+  private readonly proposals = new Proposals();
+  private readonly roleBus = new EventBus<RaftRole>();
+  private readonly appliedBus = new EventBus<number>();
+  private readonly stopping = new AbortController();
+  private leader?: Leader;
+  private appliedIndex: number;
+  private compacting?: Promise<void>;
+
+  constructor(private readonly options: RaftNodeOptions) {
+    const {recovered, machine, transport, selfId} = options;
+    const {storage, ballot, snapshot} = recovered;
+    this.machine = machine;
+    this.timing = options.timing ?? DEFAULT_TIMING;
+    this.state = new RaftState(selfId, recovered.log, storage, ballot, role =>
+      this.onRole(role),
+    );
+    this.appliedIndex = recovered.log.baseIndex;
+    if (snapshot) machine.restore(snapshot.state);
+    this.voter = new Voter(this.state, this.timing);
+    this.elector = new Elector(this.state, transport, this.timing, () =>
+      this.lead(),
+    );
+    this.follower = new Follower(
+      this.state,
+      () => this.applyCommitted(),
+      (request, text) => this.installSnapshot(request, text),
+    );
+  }
+
+  /** Starts to take part in elections. */
+  start(): void {
+    void this.elector.run(this.stopping.signal);
+  }
+
+  /** Stops every task and closes the storage. */
+  async stop(): Promise<void> {
+    this.stopping.abort();
+    this.state.become(RaftRole.Follower);
+    this.leader?.stop();
+    this.proposals.abandon();
+    this.options.transport.close();
+    await this.compacting;
+    await this.state.storage.close();
+  }
+
+  /** Streams the index of each applied entry. */
+  applied(): Stream<number> {
+    return this.appliedBus.stream();
+  }
+
+  /** Streams changes of role. */
+  roles(): Stream<RaftRole> {
+    return this.roleBus.stream();
+  }
+
+  handleVote(request: VoteRequest): Promise<VoteReply> {
+    return this.voter.handle(request);
+  }
+
+  handleAppend(request: AppendRequest): Promise<AppendReply> {
+    return this.follower.handleAppend(request);
+  }
+
+  handleSnapshot(request: SnapshotRequest): Promise<SnapshotReply> {
+    return this.follower.handleSnapshot(request);
+  }
+
+  /**
+   * Replicates a command and returns the state machine's answer. `NotLeader`
+   * with `ran: not_run` means it never entered the log; with `unknown` it may
+   * still be committed, so commands must be idempotent.
+   */
+  async propose(command: string): Promise<Result<unknown>> {
+    const {leader} = this;
+    if (!leader) return fail(this.notLeader());
+    if (this.proposals.size >= MAX_PROPOSALS) {
+      return fail(new VmuxError(ErrorCodes.Overloaded));
+    }
+    const entry = leader.append(EntryKind.Command, command);
+    return this.proposals.wait(entry.index, entry.term);
+  }
+
+  /**
+   * Confirms that this member is the leader and has applied every command
+   * committed before the call, so that a local read is linearizable.
+   */
+  async confirmLeadership(): Promise<Result<void>> {
+    const {leader} = this;
+    const committed = this.state.log.termAt(this.state.commitIndex);
+    if (!leader || committed !== leader.term || !leader.holdsLease()) {
+      return fail(this.notLeader());
+    }
+    return succeed(undefined);
+  }
+
+  /** Replaces the member list; at most one voter may differ. */
+  async changeMembers(members: readonly Member[]): Promise<Result<void>> {
+    const {leader, state} = this;
+    if (!leader) return fail(this.notLeader());
+    if (!this.mayChangeMembers(members)) {
+      const message = 'another membership change is still in progress';
+      return fail(new VmuxError(ErrorCodes.StillRunning, {message}));
+    }
+    const entry = leader.append(EntryKind.Members, JSON.stringify(members));
+    leader.updatePeers();
+    const result = await this.proposals.wait(entry.index, entry.term);
+    if (!result.ok) return result;
+    if (!state.isVoter) state.become(RaftRole.Follower);
+    return succeed(undefined);
+  }
+
+  /** Returns the group as this member sees it. */
+  status(): GroupStatus {
+    const {state, leader} = this;
+    const leaderSilentMs = leader?.holdsLease()
+      ? 0
+      : monotonicMs() - state.leaderHeardMs;
+    return {
+      selfId: state.selfId,
+      role: state.role,
+      term: state.term,
+      leaderId: state.leaderId,
+      commitIndex: state.commitIndex,
+      appliedIndex: this.appliedIndex,
+      lastIndex: state.log.lastIndex,
+      baseIndex: state.log.baseIndex,
+      leaderSilentMs,
+      members: state.members.map(member => ({
+        ...member,
+        ...(leader && member.id !== state.selfId
+          ? {
+              matchIndex: leader.matchIndexOf(member.id),
+              silentMs: leader.silenceOf(member.id),
+            }
+          : {}),
+      })),
+    };
+  }
+
+  private mayChangeMembers(members: readonly Member[]): boolean {
+    const {state, leader} = this;
+    const current = state.log.members();
+    if (current.index > state.commitIndex) return false;
+    if (state.log.termAt(state.commitIndex) !== leader?.term) return false;
+    const before = new Set(state.voters.map(({id}) => id));
+    const after = new Set(
+      members.filter(({role}) => role === MemberRole.Voter).map(({id}) => id),
+    );
+    const added = [...after].filter(id => !before.has(id)).length;
+    const removed = [...before].filter(id => !after.has(id)).length;
+    invariant(added + removed <= 1, 'one voter changes at a time');
+    return true;
+  }
+
+  private lead(): void {
+    const {state} = this;
+    state.become(RaftRole.Leader);
+    log.info('Became leader.', {term: state.term});
+    this.leader = new Leader({
+      state,
+      transport: this.options.transport,
+      timing: this.timing,
+      readSnapshot: async () => this.takeSnapshot(),
+      onCommit: () => this.applyCommitted(),
+    });
+    this.leader.start();
+    this.leader.append(EntryKind.Noop, '');
+    this.logFirstMembers();
+  }
+
+  /**
+   * The first members are known from the formation of the group only. In the
+   * log, they also reach a host that missed the end of the formation.
+   */
+  private logFirstMembers(): void {
+    const {members, index} = this.state.log.members();
+    if (index > 0) return;
+    this.leader?.append(EntryKind.Members, JSON.stringify(members));
+  }
+
+  private onRole(role: RaftRole): void {
+    this.roleBus.emit(role);
+    if (role === RaftRole.Leader || !this.leader) return;
+    log.info('Stepped down.', {term: this.leader.term});
+    this.leader.stop();
+    this.leader = undefined;
+    this.proposals.abandon();
+  }
+
+  private notLeader(): VmuxError {
+    const {state} = this;
+    const leader = state.members.find(({id}) => id === state.leaderId);
+    const address = leader?.address;
+    return new VmuxError(ErrorCodes.NotLeader, {
+      message: address
+        ? `the leader is at ${address.host}:${address.port}`
+        : 'no leader is known',
+      field: address ? `${address.host}:${address.port}` : undefined,
+    });
+  }
+
+  private applyCommitted(): void {
+    const {state} = this;
+    while (this.appliedIndex < state.commitIndex) {
+      const entry = state.log.entryAt(this.appliedIndex + 1);
+      invariant(entry !== undefined, 'a committed entry is in the log');
+      this.appliedIndex = entry.index;
+      const answer =
+        entry.kind === EntryKind.Command
+          ? this.machine.apply(entry.data, entry.index)
+          : undefined;
+      this.proposals.settle(entry.index, entry.term, answer);
+      this.appliedBus.emit(entry.index);
+    }
+    this.compactIfLong();
+  }
+
+  private compactIfLong(): void {
+    const limit = this.options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES;
+    const length = this.appliedIndex - this.state.log.baseIndex;
+    if (length < limit || this.compacting) return;
+    this.compacting = this.compact().finally(() => {
+      this.compacting = undefined;
+    });
+  }
+
+  private async compact(): Promise<void> {
+    const {log: raftLog, storage} = this.state;
+    const snapshot = this.takeSnapshot();
+    await storage.saveSnapshot(snapshot);
+    const trailing = this.options.trailingEntries ?? DEFAULT_TRAILING_ENTRIES;
+    const index = Math.max(snapshot.index - trailing, raftLog.baseIndex);
+    const term = raftLog.termAt(index);
+    if (term === undefined) return;
+    raftLog.compact({index, term, members: raftLog.membersAt(index)});
+    await storage.dropCovered(raftLog, () => this.state.currentBallot());
+  }
+
+  private takeSnapshot(): Snapshot {
+    const {log: raftLog} = this.state;
+    const index = this.appliedIndex;
+    const term = raftLog.termAt(index);
+    invariant(term !== undefined, 'the applied index is in the log');
+    return {
+      index,
+      term,
+      members: raftLog.membersAt(index),
+      state: this.machine.snapshot(),
+    };
+  }
+
+  private async installSnapshot(
+    request: SnapshotRequest,
+    text: string,
+  ): Promise<void> {
+    const {state} = this;
+    const snapshot: Snapshot = {
+      index: request.lastIndex,
+      term: request.lastTerm,
+      members: request.members,
+      state: text,
+    };
+    await this.compacting;
+    await state.storage.saveSnapshot(snapshot);
+    if (snapshot.index <= this.appliedIndex) return;
+    state.log.compact(snapshot);
+    this.machine.restore(text);
+    this.appliedIndex = snapshot.index;
+    state.commitIndex = Math.max(state.commitIndex, snapshot.index);
+    await state.storage.dropCovered(state.log, () => state.currentBallot());
+    this.appliedBus.emit(snapshot.index);
+    log.info('Installed a snapshot.', {index: snapshot.index});
+  }
+}
--- /dev/null
+++ b/packages/consensus/src/raft_storage.ts
@@ -0,0 +1,93 @@
+import {succeed, type Result} from '@vanillamux/shared';
+import {CheckedFile, Wal, type Disk} from '@vanillamux/storage';
+import type {LogEntry} from './log_entry.js';
+import {RaftLog} from './raft_log.js';
+import type {Snapshot} from './snapshot.js';
+
+const SNAPSHOT_FILE = 'snapshot.json';
+
+/** The term and vote that a member must never forget. */
+export interface Ballot {
+  readonly term: number;
+  readonly votedFor?: string;
+}
+
+type StoredRecord = {readonly entry: LogEntry} | {readonly ballot: Ballot};
+
+/** What a member finds on its disk when it starts. */
+export interface RecoveredState {
+  readonly storage: RaftStorage;
+  readonly ballot: Ballot;
+  readonly log: RaftLog;
+  readonly snapshot?: Snapshot;
+}
+
+/** Keeps ballot, log and snapshot of one member on its disk. */
+export class RaftStorage {
+  private constructor(
+    private readonly wal: Wal,
+    private readonly snapshotFile: CheckedFile,
+  ) {}
+
+  /** Opens the folder and recovers what was durable. */
+  static async open(disk: Disk): Promise<Result<RecoveredState>> {
+    const snapshotFile = new CheckedFile(disk, SNAPSHOT_FILE);
+    const snapshotText = await snapshotFile.read();
+    if (!snapshotText.ok) return snapshotText;
+    const opened = await Wal.open(disk);
+    if (!opened.ok) return opened;
+    const snapshot = snapshotText.value
+      ? (JSON.parse(snapshotText.value) as Snapshot)
+      : undefined;
+    const log = new RaftLog(snapshot ?? {index: 0, term: 0, members: []});
+    let ballot: Ballot = {term: 0};
+    for (const payload of opened.value.payloads) {
+      const record = JSON.parse(payload.toString('utf8')) as StoredRecord;
+      if ('ballot' in record) ballot = record.ballot;
+      else if (record.entry.index > log.baseIndex) log.put(record.entry);
+    }
+    const storage = new RaftStorage(opened.value.wal, snapshotFile);
+    return succeed({storage, ballot, log, snapshot});
+  }
+
+  /** Counters of the write-ahead log. */
+  get stats(): Wal['stats'] {
+    return this.wal.stats;
+  }
+
+  appendEntry(entry: LogEntry): void {
+    this.wal.append(encode({entry}));
+  }
+
+  appendBallot(ballot: Ballot): void {
+    this.wal.append(encode({ballot}));
+  }
+
+  /** Resolves when everything appended so far is durable. */
+  sync(): Promise<void> {
+    return this.wal.sync();
+  }
+
+  /** Replaces the saved snapshot. */
+  async saveSnapshot(snapshot: Snapshot): Promise<void> {
+    await this.snapshotFile.write(JSON.stringify(snapshot));
+  }
+
+  /** Rewrites the log without the entries that a snapshot covers. */
+  async dropCovered(log: RaftLog, ballot: () => Ballot): Promise<void> {
+    // The payloads are taken when the rotation runs, so that entries appended
+    // while the snapshot was written are not lost with the old segment.
+    await this.wal.rotate(() => [
+      encode({ballot: ballot()}),
+      ...log.all().map(entry => encode({entry})),
+    ]);
+  }
+
+  async close(): Promise<void> {
+    await this.wal.close();
+  }
+}
+
+function encode(record: StoredRecord): Buffer {
+  return Buffer.from(JSON.stringify(record));
+}
--- /dev/null
+++ b/packages/consensus/src/rpc_transport.ts
@@ -0,0 +1,69 @@
+import type {rpcBuilder} from '@vanillamux/rpc';
+import {RpcClient} from '@vanillamux/rpc';
+import type {Result} from '@vanillamux/shared';
+import type {Member} from './member.js';
+import type {
+  AppendReply,
+  AppendRequest,
+  SnapshotReply,
+  SnapshotRequest,
+  VoteReply,
+  VoteRequest,
+} from './messages.js';
+import type {RaftRouter} from './raft_router.js';
+import {RaftTransport} from './raft_transport.js';
+
+type MemberRouter = ReturnType<typeof rpcBuilder.router<{raft: RaftRouter}>>;
+
+/** Carries messages over one WebSocket per member. */
+export class RpcTransport extends RaftTransport {
+  private readonly clients = new Map<string, RpcClient<MemberRouter>>();
+
+  vote(
+    to: Member,
+    request: VoteRequest,
+    timeoutMs: number,
+  ): Promise<Result<VoteReply>> {
+    return this.clientOf(to).call(
+      (client, signal) => client.raft.vote.mutate(request, {signal}),
+      timeoutMs,
+    );
+  }
+
+  append(
+    to: Member,
+    request: AppendRequest,
+    timeoutMs: number,
+  ): Promise<Result<AppendReply>> {
+    return this.clientOf(to).call(
+      (client, signal) => client.raft.append.mutate(request, {signal}),
+      timeoutMs,
+    );
+  }
+
+  snapshot(
+    to: Member,
+    request: SnapshotRequest,
+    timeoutMs: number,
+  ): Promise<Result<SnapshotReply>> {
+    return this.clientOf(to).call(
+      (client, signal) => client.raft.snapshot.mutate(request, {signal}),
+      timeoutMs,
+    );
+  }
+
+  close(): void {
+    for (const client of this.clients.values()) client.close();
+    this.clients.clear();
+  }
+
+  private clientOf({address}: Member): RpcClient<MemberRouter> {
+    const key = `${address.host}:${address.port}`;
+    let client = this.clients.get(key);
+    if (!client) {
+      client = new RpcClient<MemberRouter>({address});
+      this.clients.set(key, client);
+    }
+    return client;
+  }
+}
--- /dev/null
+++ b/packages/control/src/command_schema.ts
@@ -0,0 +1,65 @@
+import {declarationsSchema} from '@vanillamux/protocol';
+import {z} from 'zod';
+import {CommandKind} from './command_kind.js';
+import {SettleOutcome} from './settle_outcome.js';
+import {storedAnswerSchema} from './stored_answer_schema.js';
+
+const registerKey = {
+  workspace: z.string(),
+  service: z.string(),
+  key: z.string(),
+};
+/** Wall time of the leader when it proposed the command. */
+const atMs = z.number();
+
+const declareSchema = z.object({
+  kind: z.literal(CommandKind.Declare),
+  commandId: z.string().min(1),
+  expectedVersion: z.number().int().min(0),
+  document: declarationsSchema,
+  operator: z.string(),
+  atMs,
+});
+
+const reserveSchema = z.object({
+  kind: z.literal(CommandKind.Reserve),
+  ...registerKey,
+  digest: z.string(),
+  requestId: z.string(),
+  entry: z.string(),
+  /** The reservation is `unknown` when it is not settled in this time. */
+  leaseMs: z.number().int().positive(),
+  retentionMs: z.number().int().positive(),
+  atMs,
+});
+
+const settleSchema = z.object({
+  kind: z.literal(CommandKind.Settle),
+  ...registerKey,
+  requestId: z.string(),
+  outcome: z.nativeEnum(SettleOutcome),
+  answer: storedAnswerSchema.optional(),
+  /** Operator who settles an unknown outcome; empty for an entry host. */
+  operator: z.string().default(''),
+  atMs,
+});
+
+const expireSchema = z.object({kind: z.literal(CommandKind.Expire), atMs});
+
+const fenceSchema = z.object({
+  kind: z.literal(CommandKind.Fence),
+  commandId: z.string(),
+  backend: z.string(),
+  holder: z.string(),
+  leaseMs: z.number().int().positive(),
+  atMs,
+});
+
+/** Schemas of the commands in the replicated log. */
+export const commandSchemas = {
+  declare: declareSchema,
+  reserve: reserveSchema,
+  settle: settleSchema,
+  expire: expireSchema,
+  fence: fenceSchema,
+};
--- /dev/null
+++ b/packages/control/src/control_host.ts
@@ -0,0 +1,137 @@
+import {
+  MemberRole,
+  RaftNode,
+  RaftStorage,
+  RpcTransport,
+  type Member,
+  type RecoveredState,
+  type Snapshot,
+} from '@vanillamux/consensus';
+import {
+  EventKind,
+  getLogger,
+  invariant,
+  succeed,
+  Timeline,
+  type Result,
+} from '@vanillamux/shared';
+import {NodeDisk} from '@vanillamux/storage';
+import {join} from 'node:path';
+import {ControlState} from './control_state.js';
+import type {ControlSettings} from './control_settings.js';
+import type {FormationAnswer} from './formation_answer.js';
+import {FormationState} from './formation_state.js';
+import {loadMemberId} from './load_member_id.js';
+import {RecordStore} from './record_store.js';
+
+const GROUP_FOLDER = 'group';
+const RECORD_FOLDER = 'record';
+
+const log = getLogger('control');
+
+/** The parts of one control host, opened from its data folder. */
+export class ControlHost {
+  readonly machine = new ControlState();
+  readonly timeline: Timeline;
+  readonly node: RaftNode;
+  private formed: boolean;
+
+  private constructor(
+    readonly settings: ControlSettings,
+    readonly self: Member,
+    readonly record: RecordStore,
+    private readonly recovered: RecoveredState,
+  ) {
+    this.timeline = new Timeline({
+      host: settings.id,
+      failureDomain: settings.failureDomain,
+    });
+    this.node = new RaftNode({
+      selfId: self.id,
+      recovered,
+      transport: new RpcTransport(),
+      machine: this.machine,
+      snapshotEntries: settings.snapshotEntries,
+    });
+    this.formed = recovered.log.members().members.length > 0;
+    this.observe();
+  }
+
+  /** Opens the data folder. Fails on an unusable folder or a damaged log. */
+  static async open(settings: ControlSettings): Promise<Result<ControlHost>> {
+    const {dataFolder, syncDelayMs} = settings;
+    const groupDisk = await NodeDisk.openFolder(
+      join(dataFolder, GROUP_FOLDER),
+      {syncDelayMs},
+    );
+    if (!groupDisk.ok) return groupDisk;
+    const recordDisk = await NodeDisk.openFolder(
+      join(dataFolder, RECORD_FOLDER),
+      {syncDelayMs},
+    );
+    if (!recordDisk.ok) return recordDisk;
+    const id = await loadMemberId(groupDisk.value, settings.id);
+    if (!id.ok) return id;
+    const recovered = await RaftStorage.open(groupDisk.value);
+    if (!recovered.ok) return recovered;
+    const record = await RecordStore.open(recordDisk.value);
+    if (!record.ok) return record;
+    const self: Member = {
+      id: id.value,
+      hostId: settings.id,
+      failureDomain: settings.failureDomain,
+      address: settings.listen,
+      role: MemberRole.Voter,
+    };
+    return succeed(
+      new ControlHost(settings, self, record.value, recovered.value),
+    );
+  }
+
+  /** Whether this host knows its group, by formation or from a leader. */
+  get isFormed(): boolean {
+    return this.formed || this.node.status().members.length > 0;
+  }
+
+  /** What this host tells others while a group is formed. */
+  formation(): FormationAnswer {
+    const state = this.isFormed ? FormationState.Formed : FormationState.Empty;
+    return {state, member: this.self};
+  }
+
+  /** Accepts the first member list of a new group, once and durably. */
+  async form(members: readonly Member[]): Promise<void> {
+    if (this.isFormed) return;
+    invariant(
+      members.some(({id}) => id === this.self.id),
+      'a host forms only groups that it belongs to',
+    );
+    this.formed = true;
+    const base: Snapshot = {index: 0, term: 0, members, state: ''};
+    await this.recovered.storage.saveSnapshot(base);
+    this.recovered.log.compact(base);
+    log.info('Formed the group.', {members: members.length});
+  }
+
+  /** Stops the tasks and closes the files. */
+  async close(): Promise<void> {
+    await this.node.stop();
+    await this.record.close();
+  }
+
+  private observe(): void {
+    void this.node.roles().observe(role => {
+      const {term} = this.node.status();
+      const kind =
+        role === 'leader' ? EventKind.LeaderElected : EventKind.LeaderLost;
+      if (role !== 'candidate') {
+        this.timeline.add(kind, `${role} in term ${term}`);
+      }
+    });
+    void this.machine.versions
+      .stream()
+      .observe(version =>
+        this.timeline.add(EventKind.Declared, `version ${version}`),
+      );
+  }
+}
--- /dev/null
+++ b/packages/control/src/declaration_feed.ts
@@ -0,0 +1,44 @@
+import type {DeclaredVersion} from '@vanillamux/protocol';
+import {Deferred, sleep} from '@vanillamux/shared';
+import type {ControlHost} from './control_host.js';
+
+/** Answer to a host that waits for newer declarations. */
+export interface FeedAnswer {
+  /** Version in force on the answering control host. */
+  readonly version: number;
+  /** Present only when it is newer than the one the host has. */
+  readonly declared?: DeclaredVersion;
+  /** Milliseconds since the answering host knew a leader with a quorum. */
+  readonly leaderSilentMs: number;
+}
+
+/** Answers hosts as soon as newer declarations are in force. */
+export class DeclarationFeed {
+  private next = new Deferred<void>();
+
+  constructor(private readonly host: ControlHost) {
+    void host.machine.versions.stream().observe(() => {
+      this.next.resolve();
+      this.next = new Deferred<void>();
+    });
+  }
+
+  /** Waits up to `waitMs` for a version above `haveVersion`. */
+  async wait(haveVersion: number, waitMs: number): Promise<FeedAnswer> {
+    if (this.current.version <= haveVersion && waitMs > 0) {
+      const timer = new AbortController();
+      await Promise.race([this.next.promise, sleep(waitMs, timer.signal)]);
+      timer.abort();
+    }
+    const {version} = this.current;
+    return {
+      version,
+      declared: version > haveVersion ? this.current : undefined,
+      leaderSilentMs: this.host.node.status().leaderSilentMs,
+    };
+  }
+
+  private get current(): DeclaredVersion {
+    return this.host.machine.declared.current;
+  }
+}
--- /dev/null
+++ b/packages/control/src/declarations_router.ts
@@ -0,0 +1,56 @@
+import {checkReferences, declarationsSchema} from '@vanillamux/protocol';
+import {rpcBuilder, unwrap} from '@vanillamux/rpc';
+import {ErrorCodes, fail, VmuxError} from '@vanillamux/shared';
+import {z} from 'zod';
+import type {DeclareAnswer} from './answers.js';
+import {CommandKind} from './command_kind.js';
+import type {DeclareCommand} from './commands.js';
+import type {ControlHost} from './control_host.js';
+import {DeclarationFeed} from './declaration_feed.js';
+import {proposeCommand} from './propose_command.js';
+
+const MAX_WAIT_MS = 30_000;
+
+const declareSchema = z.object({
+  commandId: z.string().min(1),
+  expectedVersion: z.number().int().min(0),
+  document: declarationsSchema,
+  operator: z.string(),
+});
+
+const waitSchema = z.object({
+  haveVersion: z.number().int().min(0),
+  waitMs: z.number().int().min(0).max(MAX_WAIT_MS),
+});
+
+/** Creates the routes for declarations. */
+// eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types -- tRPC infers the type that clients share
+export function createDeclarationsRouter(host: ControlHost) {
+  const {procedure, router} = rpcBuilder;
+  const feed = new DeclarationFeed(host);
+  return router({
+    declare: procedure.input(declareSchema).mutation(async ({input}) => {
+      const [fault] = checkReferences(input.document);
+      if (fault) {
+        const message = `${fault.field}: expected ${fault.expected}`;
+        const options = {message, field: fault.field};
+        return unwrap(fail(new VmuxError(ErrorCodes.BadRequest, options)));
+      }
+      return unwrap(
+        await proposeCommand<DeclareCommand, DeclareAnswer>(host.node, {
+          kind: CommandKind.Declare,
+          ...input,
+        }),
+      );
+    }),
+    /** The present version, confirmed by the leader. */
+    current: procedure.query(async () => {
+      unwrap(await host.node.confirmLeadership());
+      return host.machine.declared.current;
+    }),
+    wait: procedure
+      .input(waitSchema)
+      .query(({input}) => feed.wait(input.haveVersion, input.waitMs)),
+    history: procedure.query(() => [...host.machine.declared.versions()]),
+  });
+}
--- /dev/null
+++ b/packages/control/src/fencing.ts
@@ -0,0 +1,49 @@
+import type {FenceAnswer} from './answers.js';
+import type {FenceCommand} from './commands.js';
+
+/** The present holder of the orders to one backend server. */
+export interface FenceGrant {
+  readonly backend: string;
+  readonly holder: string;
+  readonly number: number;
+  readonly leaseEndsAtMs: number;
+}
+
+/** Issues increasing fencing numbers, one holder per backend server. */
+export class Fencing {
+  private readonly grants = new Map<string, FenceGrant>();
+
+  /**
+   * Grants the orders of a backend server to a holder for a lease. Another
+   * holder gets them only after the lease has ended, which also protects
+   * backend servers that do not check the number.
+   */
+  grant(command: FenceCommand): FenceAnswer {
+    const {backend, holder, leaseMs, atMs} = command;
+    const present = this.grants.get(backend);
+    const held = present && present.leaseEndsAtMs > atMs;
+    if (held && present.holder !== holder) {
+      const waitMs = present.leaseEndsAtMs - atMs;
+      return {granted: false, number: present.number, waitMs};
+    }
+    const number = held ? present.number : (present?.number ?? 0) + 1;
+    this.grants.set(backend, {
+      backend,
+      holder,
+      number,
+      leaseEndsAtMs: atMs + leaseMs,
+    });
+    return {granted: true, number, waitMs: 0};
+  }
+
+  /** Returns every grant. */
+  list(): FenceGrant[] {
+    return [...this.grants.values()];
+  }
+
+  /** Replaces the content, from a snapshot. */
+  load(grants: readonly FenceGrant[]): void {
+    this.grants.clear();
+    for (const grant of grants) this.grants.set(grant.backend, grant);
+  }
+}
--- /dev/null
+++ b/packages/control/src/index.ts
@@ -0,0 +1,32 @@
+export {type Member} from '@vanillamux/consensus';
+export {
+  ReserveVerdict,
+  type DeclareAnswer,
+  type FenceAnswer,
+  type ReserveAnswer,
+  type SettleAnswer,
+  type StoredAnswer,
+} from './answers.js';
+export {CommandKind} from './command_kind.js';
+export {
+  type Command,
+  type DeclareCommand,
+  type ExpireCommand,
+  type FenceCommand,
+  type ReserveCommand,
+  type SettleCommand,
+} from './commands.js';
+export {ControlClient, type ControlCall} from './control_client.js';
+export {type FeedAnswer} from './declaration_feed.js';
+export {createControlRouter, type ControlRouter} from './control_router.js';
+export {ControlServer} from './control_server.js';
+export {type ControlSettings} from './control_settings.js';
+export {controlSettingsSchema} from './control_settings_schema.js';
+export {ControlState} from './control_state.js';
+export {recordQuerySchema} from './record_query_schema.js';
+export {RecordStore} from './record_store.js';
+export {type Reservation} from './reservation.js';
+export {ReservationState} from './reservation_state.js';
+export {SettleOutcome} from './settle_outcome.js';
+export {storedAnswerSchema} from './stored_answer_schema.js';
+export {Register} from './register.js';
--- /dev/null
+++ b/packages/control/src/load_member_id.ts
@@ -0,0 +1,30 @@
+import {randomUUID} from 'node:crypto';
+import {succeed, type Result} from '@vanillamux/shared';
+import {CheckedFile, type Disk} from '@vanillamux/storage';
+
+const IDENTITY_FILE = 'identity.json';
+
+interface StoredIdentity {
+  readonly diskId: string;
+}
+
+/**
+ * Returns the member id of a host: its name and an id that lives on its disk.
+ * A host whose disk was lost gets another id, and so can never vote again
+ * under the one whose votes it has forgotten.
+ */
+export async function loadMemberId(
+  disk: Disk,
+  hostId: string,
+): Promise<Result<string>> {
+  const file = new CheckedFile(disk, IDENTITY_FILE);
+  const stored = await file.read();
+  if (!stored.ok) return stored;
+  if (stored.value !== undefined) {
+    const {diskId} = JSON.parse(stored.value) as StoredIdentity;
+    return succeed(`${hostId}/${diskId}`);
+  }
+  const identity: StoredIdentity = {diskId: randomUUID()};
+  await file.write(JSON.stringify(identity));
+  return succeed(`${hostId}/${identity.diskId}`);
+}
--- /dev/null
+++ b/packages/control/src/propose_command.ts
@@ -0,0 +1,16 @@
+import type {RaftNode} from '@vanillamux/consensus';
+import type {Result} from '@vanillamux/shared';
+import type {Command} from './commands.js';
+
+/** A command before the leader has stamped it with its wall time. */
+export type Unstamped<C extends Command> = Omit<C, 'atMs'>;
+
+/** Stamps a command, replicates it and returns its answer. */
+export async function proposeCommand<C extends Command, A>(
+  node: RaftNode,
+  command: Unstamped<C>,
+): Promise<Result<A>> {
+  const text = JSON.stringify({...command, atMs: Date.now()});
+  const result = await node.propose(text);
+  return result as Result<A>;
+}
--- /dev/null
+++ b/packages/control/src/stored_answer_schema.ts
@@ -0,0 +1,9 @@
+import {z} from 'zod';
+
+/** The answer of a service, kept to be replayed. */
+export const storedAnswerSchema = z.object({
+  status: z.number().int(),
+  contentType: z.string(),
+  /** Body in base64. */
+  body: z.string(),
+});
--- /dev/null
+++ b/packages/engine/bin/vmux_engine.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/src/bin/vmux_engine.js';
--- /dev/null
+++ b/packages/engine/src/engine_server.ts
@@ -0,0 +1,102 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {ServerResponse} from 'node:http';
+import {generateRequestSchema} from '@vanillamux/protocol';
+import {ErrorCodes, VmuxError} from '@vanillamux/shared';
+import {z} from 'zod';
+import type {EngineModel} from './engine_model.js';
+import {FaultKind} from './fault_kind.js';
+import type {FaultSwitch} from './fault_switch.js';
+import type {OrderDesk} from './order_desk.js';
+import {readJson} from './read_json.js';
+import {sendJson} from './send_json.js';
+import {streamFrames} from './stream_frames.js';
+
+const attemptSchema = z.object({
+  requestId: z.string(),
+  attempt: z.number().int(),
+  fromIndex: z.number().int().min(0).default(0),
+});
+const orderSchema = z.object({fencing: z.number(), model: z.string()});
+const faultSchema = z.object({
+  kind: z.nativeEnum(FaultKind),
+  durationMs: z.number().positive().default(1_000),
+});
+
+/** What the HTTP interface of a stand-in engine works on. */
+export interface EngineServerOptions {
+  readonly model: EngineModel;
+  readonly faults: FaultSwitch;
+  readonly orders: OrderDesk;
+}
+
+/** Creates the HTTP server of a stand-in engine. */
+export function createEngineServer(options: EngineServerOptions): Server {
+  return createServer((req, res) => {
+    void handle(req, res, options);
+  });
+}
+
+async function handle(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {model, faults, orders}: EngineServerOptions,
+): Promise<void> {
+  const route = `${req.method} ${req.url}`;
+  const body = req.method === 'POST' ? await readJson(req) : undefined;
+  await faults.waitOut(FaultKind.Late);
+  switch (route) {
+    case 'POST /v1/generate': {
+      const request = generateRequestSchema.safeParse(body);
+      if (!request.success) return refuse(res, request.error.message);
+      const submitted = model.submit(request.data);
+      if (!submitted.ok) return sendError(res, submitted.error);
+      const {deliveredTokens} = request.data;
+      return streamFrames(res, submitted.value, deliveredTokens, faults);
+    }
+    case 'POST /v1/resume': {
+      const request = attemptSchema.safeParse(body);
+      if (!request.success) return refuse(res, request.error.message);
+      const {requestId, attempt, fromIndex} = request.data;
+      const sequence = model.find(requestId, attempt);
+      if (!sequence) return sendError(res, new VmuxError(ErrorCodes.NotFound));
+      return streamFrames(res, sequence, fromIndex, faults);
+    }
+    case 'POST /v1/cancel': {
+      const request = attemptSchema.safeParse(body);
+      if (!request.success) return refuse(res, request.error.message);
+      if (faults.isActive(FaultKind.LoseCancel)) {
+        res.destroy();
+        return;
+      }
+      model.cancel(request.data.requestId, request.data.attempt);
+      return sendJson(res, 200, {released: true});
+    }
+    case 'GET /v1/holdings':
+      return sendJson(res, 200, model.holdings());
+    case 'GET /v1/load':
+      return sendJson(res, 200, model.load());
+    case 'POST /v1/orders': {
+      const order = orderSchema.safeParse(body);
+      if (!order.success) return refuse(res, order.error.message);
+      const done = orders.execute(order.data);
+      if (!done.ok) return sendError(res, done.error);
+      return sendJson(res, 200, {models: orders.models});
+    }
+    case 'POST /faults': {
+      const fault = faultSchema.safeParse(body);
+      if (!fault.success) return refuse(res, fault.error.message);
+      faults.inject(fault.data.kind, fault.data.durationMs);
+      return sendJson(res, 200, {injected: fault.data.kind});
+    }
+    default:
+      return sendError(res, new VmuxError(ErrorCodes.NotFound));
+  }
+}
+
+function refuse(res: ServerResponse, message: string): void {
+  sendError(res, new VmuxError(ErrorCodes.BadRequest, {message}));
+}
+
+function sendError(res: ServerResponse, error: VmuxError): void {
+  sendJson(res, error.status, {error: error.toBody()});
+}
--- /dev/null
+++ b/packages/engine/src/send_json.ts
@@ -0,0 +1,15 @@
+import type {ServerResponse} from 'node:http';
+
+/** Sends a JSON answer. */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+): void {
+  const text = JSON.stringify(body);
+  res.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  res.end(text);
+}
--- /dev/null
+++ b/packages/engine/src/service_server.ts
@@ -0,0 +1,63 @@
+import {createServer, type IncomingMessage, type Server} from 'node:http';
+import type {ServerResponse} from 'node:http';
+import {z} from 'zod';
+import {FaultKind} from './fault_kind.js';
+import type {FaultSwitch} from './fault_switch.js';
+import {readJson} from './read_json.js';
+import {sendJson} from './send_json.js';
+
+const MAX_EXECUTIONS = 10_000;
+
+const faultSchema = z.object({
+  kind: z.nativeEnum(FaultKind),
+  durationMs: z.number().positive().default(1_000),
+});
+
+/** A call that a stand-in service has executed. */
+interface Execution {
+  readonly number: number;
+  readonly method: string;
+  readonly path: string;
+  readonly body: unknown;
+}
+
+/** Creates a stand-in plain service that counts what it executes. */
+export function createServiceServer(id: string, faults: FaultSwitch): Server {
+  const executions: Execution[] = [];
+  return createServer((req, res) => {
+    void handle(req, res, id, faults, executions);
+  });
+}
+
+async function handle(
+  req: IncomingMessage,
+  res: ServerResponse,
+  id: string,
+  faults: FaultSwitch,
+  executions: Execution[],
+): Promise<void> {
+  const body = req.method === 'GET' ? undefined : await readJson(req);
+  if (req.url === '/executions') return sendJson(res, 200, executions);
+  if (req.url === '/faults') {
+    const fault = faultSchema.safeParse(body);
+    if (!fault.success) return sendJson(res, 400, {error: fault.error.issues});
+    faults.inject(fault.data.kind, fault.data.durationMs);
+    return sendJson(res, 200, {injected: fault.data.kind});
+  }
+  await faults.waitOut(FaultKind.Stall);
+  const number = executions.length + 1;
+  if (number <= MAX_EXECUTIONS) {
+    executions.push({
+      number,
+      method: req.method ?? '',
+      path: req.url ?? '',
+      body,
+    });
+  }
+  if (faults.isActive(FaultKind.LoseAnswer)) {
+    res.destroy();
+    return;
+  }
+  await faults.waitOut(FaultKind.Late);
+  sendJson(res, 200, {service: id, number, path: req.url, body});
+}
--- /dev/null
+++ b/packages/entry/src/at_most_once_runner.ts
@@ -0,0 +1,161 @@
+import {createHash} from 'node:crypto';
+import {
+  ReservationState,
+  ReserveVerdict,
+  SettleOutcome,
+  type ControlClient,
+  type ReserveAnswer,
+  type StoredAnswer,
+} from '@vanillamux/control';
+import type {ServiceDeclaration} from '@vanillamux/protocol';
+import {
+  ErrorCodes,
+  EventKind,
+  fail,
+  RunState,
+  succeed,
+  VmuxError,
+  type Result,
+  type Timeline,
+} from '@vanillamux/shared';
+import type {RequestContext} from './request_context.js';
+import type {ServiceCall} from './service_client.js';
+import type {Settler} from './settler.js';
+
+const LEASE_GRACE_MS = 5_000;
+const RESERVE_DEADLINE_MS = 2_500;
+const RETRY_AFTER_MS = 1_000;
+
+/** An answer, and whether it is the stored one of an earlier request. */
+export interface AtMostOnceAnswer {
+  readonly answer: StoredAnswer;
+  readonly replayed: boolean;
+}
+
+/** What an `AtMostOnceRunner` works with. */
+export interface AtMostOnceOptions {
+  readonly entryId: string;
+  readonly control: ControlClient;
+  readonly settler: Settler;
+  readonly timeline: Timeline;
+}
+
+/**
+ * Runs at-most-once requests: reserves the key by quorum before a byte leaves,
+ * and settles the outcome before the caller hears it.
+ */
+export class AtMostOnceRunner {
+  constructor(private readonly options: AtMostOnceOptions) {}
+
+  /** Runs `send` unless the key was used before. */
+  async run(
+    ctx: RequestContext,
+    service: ServiceDeclaration,
+    key: string,
+    call: ServiceCall,
+    send: () => Promise<Result<StoredAnswer>>,
+  ): Promise<Result<AtMostOnceAnswer>> {
+    const reserved = await this.reserve(ctx, service, key, call);
+    if (!reserved.ok) {
+      // The command may have been committed although no answer came. Nothing
+      // was sent, so the key is given back as soon as the group is reachable.
+      if (reserved.error.ran === RunState.Unknown) {
+        void this.settle(ctx, service, key, SettleOutcome.NotRun);
+      }
+      const {message} = reserved.error;
+      const options = {message, retryAfterMs: RETRY_AFTER_MS};
+      return fail(new VmuxError(ErrorCodes.NoQuorum, options));
+    }
+    if (reserved.value.verdict !== ReserveVerdict.Granted) {
+      return explainHeld(reserved.value);
+    }
+    const {requestId} = ctx;
+    this.options.timeline.add(EventKind.Reserved, key, requestId);
+    const result = await send();
+    const outcome = classifyOutcome(result);
+    const answer = result.ok ? result.value : undefined;
+    await this.settle(ctx, service, key, outcome, answer);
+    this.options.timeline.add(EventKind.Settled, outcome, requestId);
+    if (!result.ok) return result;
+    return succeed({answer: result.value, replayed: false});
+  }
+
+  private reserve(
+    ctx: RequestContext,
+    service: ServiceDeclaration,
+    key: string,
+    call: ServiceCall,
+  ): Promise<Result<ReserveAnswer>> {
+    return this.options.control.callLeader(
+      (api, signal) =>
+        api.register.reserve.mutate(
+          {
+            workspace: ctx.workspace.name,
+            service: service.name,
+            key,
+            digest: digestCall(call),
+            requestId: ctx.requestId,
+            entry: this.options.entryId,
+            leaseMs: ctx.workClass.deadlineMs + LEASE_GRACE_MS,
+            retentionMs: service.retentionMs,
+          },
+          {signal},
+        ),
+      RESERVE_DEADLINE_MS,
+    );
+  }
+
+  private settle(
+    ctx: RequestContext,
+    service: ServiceDeclaration,
+    key: string,
+    outcome: SettleOutcome,
+    answer?: StoredAnswer,
+  ): Promise<void> {
+    return this.options.settler.settle({
+      workspace: ctx.workspace.name,
+      service: service.name,
+      key,
+      requestId: ctx.requestId,
+      outcome,
+      answer,
+    });
+  }
+}
+
+function classifyOutcome(result: Result<StoredAnswer>): SettleOutcome {
+  if (result.ok) return SettleOutcome.Done;
+  return result.error.ran === RunState.NotRun
+    ? SettleOutcome.NotRun
+    : SettleOutcome.Unknown;
+}
+
+function explainHeld(held: ReserveAnswer): Result<AtMostOnceAnswer> {
+  const {verdict, state, answer, requestId} = held;
+  if (verdict === ReserveVerdict.OtherBody) {
+    return fail(new VmuxError(ErrorCodes.KeyReused));
+  }
+  if (verdict === ReserveVerdict.Full) {
+    const message = 'the workspace has too many idempotency keys';
+    return fail(new VmuxError(ErrorCodes.QueueFull, {message}));
+  }
+  if (state === ReservationState.Done && answer) {
+    return succeed({answer, replayed: true});
+  }
+  if (state === ReservationState.Running) {
+    const message = `request ${requestId} with this key is still running`;
+    const options = {message, retryAfterMs: RETRY_AFTER_MS};
+    return fail(new VmuxError(ErrorCodes.StillRunning, options));
+  }
+  const message = `outcome of request ${requestId} with this key is unknown; an operator can settle it`;
+  return fail(
+    new VmuxError(ErrorCodes.OutcomeUnknown, {message, ran: RunState.Unknown}),
+  );
+}
+
+function digestCall({method, path, body}: ServiceCall): string {
+  return createHash('sha256')
+    .update(`${method}\n${path}\n`)
+    .update(body)
+    .digest('hex');
+}
--- /dev/null
+++ b/packages/entry/src/chat_handler.ts
@@ -0,0 +1,156 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {estimateTokens} from '@vanillamux/protocol';
+import type {RoutingDecision} from '@vanillamux/routing';
+import {
+  ErrorCodes,
+  fail,
+  succeed,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import type {z} from 'zod';
+import {authenticate} from './authenticate.js';
+import type {BlockHasher} from './block_hasher.js';
+import {ChatAnswer} from './chat_answer.js';
+import {chatRequestSchema} from './chat_request_schema.js';
+import type {DeclarationStore} from './declaration_store.js';
+import type {GenerationJob, GenerationReport} from './generation.js';
+import type {GenerationRunner} from './generation_runner.js';
+import {parseJsonBody} from './parse_json_body.js';
+import type {RequestContext} from './request_context.js';
+import type {RequestDesk, RequestFacts} from './request_desk.js';
+import {sendError} from './send_error.js';
+
+type ChatRequest = z.infer<typeof chatRequestSchema>;
+
+/** What a `ChatHandler` works with. */
+export interface ChatHandlerOptions {
+  readonly declarations: DeclarationStore;
+  readonly desk: RequestDesk;
+  readonly runner: GenerationRunner;
+  readonly hasher: BlockHasher;
+  readonly maxBodyBytes: number;
+}
+
+/** Serves `POST /v1/chat/completions`. */
+export class ChatHandler {
+  constructor(private readonly options: ChatHandlerOptions) {}
+
+  async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const {declarations, desk, maxBodyBytes} = this.options;
+    const index = declarations.current;
+    const workspace = authenticate(req, index);
+    if (!workspace.ok) return sendError(res, workspace.error);
+    const parsed = await parseJsonBody(req, chatRequestSchema, maxBodyBytes);
+    if (!parsed.ok) return sendError(res, parsed.error);
+    const chat = parsed.value;
+    const job = this.createJob(chat);
+    const rule = index.findRule(job.model, job.promptTokens);
+    if (!rule) {
+      const message = `no routing rule serves model "${job.model}" at ${job.promptTokens} tokens`;
+      return sendError(res, new VmuxError(ErrorCodes.UnknownModel, {message}));
+    }
+    const workClass = index.findClass(chat.class ?? rule.class);
+    if (!workClass) {
+      const message = `class "${chat.class}" is not declared`;
+      const options = {message, field: 'class'};
+      return sendError(res, new VmuxError(ErrorCodes.UnknownClass, options));
+    }
+    const ctx = desk.open({
+      res,
+      workspace: workspace.value,
+      workClass,
+      version: index.version,
+      rule: `${rule.model}<=${rule.maxPromptTokens ?? 'any'}`,
+    });
+    await this.serve(ctx, chat, job, res);
+  }
+
+  private createJob(chat: ChatRequest): GenerationJob {
+    const prompt = chat.messages
+      .map(({role, content}) => `${role}: ${content}`)
+      .join('\n');
+    return {
+      model: chat.model,
+      prompt,
+      promptTokens: estimateTokens(prompt),
+      blocks: this.options.hasher.hash(prompt),
+      maxTokens: chat.max_tokens,
+    };
+  }
+
+  private async serve(
+    ctx: RequestContext,
+    chat: ChatRequest,
+    job: GenerationJob,
+    res: ServerResponse,
+  ): Promise<void> {
+    const {desk} = this.options;
+    const {promptTokens} = job;
+    const decision = this.decideInTime(ctx, job);
+    const facts: RequestFacts = {
+      target: job.model,
+      promptTokens,
+      candidates: decision.ok ? decision.value.candidates : undefined,
+    };
+    if (!decision.ok) {
+      desk.refuse(ctx, decision.error, facts);
+      return sendError(res, decision.error, ctx.requestId);
+    }
+    const cost = promptTokens + job.maxTokens;
+    const permit = await desk.admit(ctx, cost, facts);
+    if (!permit.ok) return sendError(res, permit.error, ctx.requestId);
+    const report: GenerationReport = {
+      backend: decision.value.backend.id,
+      attempts: 0,
+      answerTokens: 0,
+      cachedTokens: 0,
+    };
+    const answer = new ChatAnswer({
+      res,
+      requestId: ctx.requestId,
+      model: job.model,
+      streams: chat.stream,
+      promptTokens,
+      report,
+    });
+    const result = await this.runAdmitted(ctx, job, answer, report);
+    permit.value.release();
+    const error = result.ok ? undefined : result.error;
+    desk.close(ctx, facts, {...report, error});
+    if (!error) answer.finish();
+    else if (res.headersSent) answer.abort(error);
+    else sendError(res, error, ctx.requestId);
+  }
+
+  /** The wait for admission may have changed the best choice. */
+  private async runAdmitted(
+    ctx: RequestContext,
+    job: GenerationJob,
+    answer: ChatAnswer,
+    report: GenerationReport,
+  ): Promise<Result<void>> {
+    const {runner} = this.options;
+    const decision = runner.decide(ctx, job);
+    if (!decision.ok) return decision;
+    return runner.run(ctx, job, decision.value, answer, report);
+  }
+
+  /** Refuses what cannot deliver its first token before the deadline. */
+  private decideInTime(
+    ctx: RequestContext,
+    job: GenerationJob,
+  ): Result<RoutingDecision> {
+    const decision = this.options.runner.decide(ctx, job);
+    if (!decision.ok) return decision;
+    const {estimateMs, backend} = decision.value;
+    const decodeMs = job.maxTokens * backend.decodeStepMs;
+    const neededMs = estimateMs + decodeMs;
+    if (neededMs <= ctx.workClass.deadlineMs) return succeed(decision.value);
+    const message = `needs about ${Math.round(neededMs)} ms; class ${ctx.workClass.name} allows ${ctx.workClass.deadlineMs} ms`;
+    const retryAfterMs = neededMs - ctx.workClass.deadlineMs;
+    return fail(
+      new VmuxError(ErrorCodes.DeadlineUnreachable, {message, retryAfterMs}),
+    );
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entry_metrics.ts
@@ -0,0 +1,78 @@
+import type {RunState} from '@vanillamux/shared';
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+
+const MS_PER_SECOND = 1_000;
+const FIRST_TOKEN_BUCKETS_S = [
+  0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
+];
+const LENGTH_BUCKETS: ReadonlyArray<readonly [number, string]> = [
+  [4_000, '4k'],
+  [32_000, '32k'],
+  [100_000, '100k'],
+  [500_000, '500k'],
+];
+
+/** Metrics of an entry host. No label grows with the workspaces. */
+export class EntryMetrics {
+  readonly registry = new Registry();
+  readonly admitted = new Counter({
+    name: 'vmux_requests_admitted_total',
+    help: 'Requests admitted, by class of work.',
+    labelNames: ['class'],
+    registers: [this.registry],
+  });
+  readonly refused = new Counter({
+    name: 'vmux_requests_refused_total',
+    help: 'Requests refused before they ran, by error code.',
+    labelNames: ['code'],
+    registers: [this.registry],
+  });
+  private readonly ended = new Counter({
+    name: 'vmux_requests_ended_total',
+    help: 'Admitted requests that ended, by what is known of their run.',
+    labelNames: ['ran'],
+    registers: [this.registry],
+  });
+  private readonly firstToken = new Histogram({
+    name: 'vmux_first_token_seconds',
+    help: 'Time to first token, by prompt length.',
+    labelNames: ['length'],
+    buckets: FIRST_TOKEN_BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  constructor() {
+    collectDefaultMetrics({register: this.registry});
+  }
+
+  /** Adds a gauge whose value is read when metrics are collected. */
+  addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  /** Counts the end of a request and its time to first token. */
+  observeEnd(
+    ran: RunState,
+    promptTokens?: number,
+    firstTokenMs?: number,
+  ): void {
+    this.ended.inc({ran});
+    if (promptTokens === undefined || firstTokenMs === undefined) return;
+    const length =
+      LENGTH_BUCKETS.find(([limit]) => promptTokens <= limit)?.[1] ?? '1m';
+    this.firstToken.observe({length}, firstTokenMs / MS_PER_SECOND);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/entry_router.ts
@@ -0,0 +1,27 @@
+import {createMeshRouter} from '@vanillamux/membership';
+import {rpcBuilder} from '@vanillamux/rpc';
+import {monotonicMs} from '@vanillamux/shared';
+import type {EntryHost} from './entry_host.js';
+
+/** Creates the router for peers and operators. */
+// eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types -- tRPC infers the type that clients share
+export function createEntryRouter(host: EntryHost) {
+  const {procedure, router} = rpcBuilder;
+  return router({
+    mesh: createMeshRouter(host.mesh),
+    status: procedure.query(() => host.status()),
+    backends: procedure.query(() =>
+      host.table.list().map(({announcement, heardMs}) => ({
+        ...announcement,
+        cache: undefined,
+        ageMs: Math.round(monotonicMs() - heardMs),
+      })),
+    ),
+    /** Entries of the record that no control host has confirmed yet. */
+    undelivered: procedure.query(() => [...host.recorder.undelivered]),
+    events: procedure.query(() => host.timeline.events()),
+  });
+}
+
+/** Type of the router, for clients. */
+export type EntryRouter = ReturnType<typeof createEntryRouter>;
--- /dev/null
+++ b/packages/entry/src/generation_runner.ts
@@ -0,0 +1,194 @@
+import type {Frame} from '@vanillamux/protocol';
+import type {
+  InFlightLedger,
+  RoutingDecision,
+  RoutingPolicy,
+} from '@vanillamux/routing';
+import type {PrefixIndex} from '@vanillamux/routing';
+import {
+  ErrorCodes,
+  EventKind,
+  fail,
+  monotonicMs,
+  RunState,
+  succeed,
+  VmuxError,
+  type Result,
+  type Timeline,
+} from '@vanillamux/shared';
+import type {BackendDirectory} from './backend_directory.js';
+import type {BackendHealth} from './backend_health.js';
+import {EngineAttempt} from './engine_attempt.js';
+import type {EngineCanceller} from './engine_canceller.js';
+import type {EngineClient} from './engine_client.js';
+import {FrameAssembler} from './frame_assembler.js';
+import type {GenerationJob, GenerationReport, TokenSink} from './generation.js';
+import type {RequestContext} from './request_context.js';
+
+const MAX_ATTEMPTS = 3;
+const BLOCK_TOKENS = 512;
+const MIN_LEASE_MS = 2_000;
+const NO_BACKEND_RETRY_AFTER_MS = 1_000;
+
+/** What a `GenerationRunner` works with. */
+export interface GenerationRunnerOptions {
+  readonly directory: BackendDirectory;
+  readonly policy: RoutingPolicy;
+  readonly ledger: InFlightLedger;
+  readonly prefixes: PrefixIndex;
+  readonly health: BackendHealth;
+  readonly client: EngineClient;
+  readonly canceller: EngineCanceller;
+  readonly timeline: Timeline;
+}
+
+/** Routes generation requests to engines and retries them elsewhere. */
+export class GenerationRunner {
+  constructor(private readonly options: GenerationRunnerOptions) {}
+
+  /** Chooses the engine for the first or a further attempt. */
+  decide(
+    ctx: RequestContext,
+    job: GenerationJob,
+    excluded: ReadonlySet<string> = new Set(),
+  ): Result<RoutingDecision> {
+    const {directory, policy, prefixes} = this.options;
+    const tokens = job.promptTokens + job.maxTokens;
+    const candidates = directory.candidates({
+      model: job.model,
+      tokens,
+      excluded,
+    });
+    if (candidates.length === 0) return fail(this.explainNone(job, tokens));
+    const matched = prefixes.match(job.blocks);
+    return succeed(
+      policy.choose(
+        {
+          requestId: ctx.requestId,
+          promptTokens: job.promptTokens,
+          maxTokens: job.maxTokens,
+          priority: ctx.workClass.priority,
+          cachedTokens: id => (matched.get(id) ?? 0) * BLOCK_TOKENS,
+        },
+        candidates,
+      ),
+    );
+  }
+
+  /** Runs a request to its end. The report is filled in as it goes. */
+  async run(
+    ctx: RequestContext,
+    job: GenerationJob,
+    first: RoutingDecision,
+    sink: TokenSink,
+    report: GenerationReport,
+  ): Promise<Result<void>> {
+    const assembler = new FrameAssembler(ctx.requestId);
+    const excluded = new Set<string>();
+    let decision = first;
+    for (;;) {
+      report.attempts++;
+      report.backend = decision.backend.id;
+      const result = await this.attempt(
+        ctx,
+        job,
+        decision,
+        assembler,
+        sink,
+        report,
+      );
+      if (result.ok) return result;
+      if (ctx.signal.aborted) return fail(explainAbort(ctx));
+      excluded.add(decision.backend.id);
+      const {message} = result.error;
+      const detail = `${decision.backend.id}: ${message}`;
+      this.options.timeline.add(EventKind.AttemptFailed, detail, ctx.requestId);
+      if (report.attempts >= MAX_ATTEMPTS) return result;
+      const next = this.decide(ctx, job, excluded);
+      if (!next.ok) return result;
+      decision = next.value;
+      assembler.startAttempt();
+    }
+  }
+
+  private async attempt(
+    ctx: RequestContext,
+    job: GenerationJob,
+    decision: RoutingDecision,
+    assembler: FrameAssembler,
+    sink: TokenSink,
+    report: GenerationReport,
+  ): Promise<Result<void>> {
+    const {ledger, client, canceller, health, timeline} = this.options;
+    const {backend, cachedTokens} = decision;
+    const {requestId, workClass} = ctx;
+    const attempt = report.attempts;
+    timeline.add(EventKind.Routed, backend.id, requestId);
+    const flight = ledger.add({
+      backendId: backend.id,
+      priority: workClass.priority,
+      prefillTokens: Math.max(0, job.promptTokens - cachedTokens),
+      heldTokens: job.promptTokens + job.maxTokens,
+    });
+    const onToken = async (frame: Frame): Promise<void> => {
+      flight.endPrefill();
+      if (report.firstTokenMs === undefined) {
+        report.firstTokenMs = monotonicMs() - ctx.startedMs;
+        report.cachedTokens = frame.cachedTokens ?? 0;
+        timeline.add(EventKind.FirstToken, backend.id, requestId);
+      }
+      report.answerTokens++;
+      await sink.write(frame.text);
+    };
+    const result = await new EngineAttempt({
+      client,
+      backend,
+      request: {
+        requestId,
+        attempt,
+        model: job.model,
+        prompt: job.prompt,
+        promptTokens: job.promptTokens,
+        blocks: [...job.blocks],
+        maxTokens: job.maxTokens,
+        deliveredTokens: assembler.next,
+        priority: workClass.priority,
+        leaseMs: MIN_LEASE_MS,
+      },
+      assembler,
+      onToken,
+      signal: ctx.signal,
+    }).run();
+    flight.end();
+    if (result.ok) {
+      health.succeeded(backend.id);
+      this.options.prefixes.store(backend.id, job.blocks);
+      return result;
+    }
+    if (!ctx.signal.aborted) health.failed(backend.id);
+    if (result.error.ran !== RunState.NotRun || ctx.signal.aborted) {
+      canceller.cancel({address: backend.address, requestId, attempt});
+    }
+    return result;
+  }
+
+  private explainNone(job: GenerationJob, tokens: number): VmuxError {
+    const largest = this.options.directory.largestMemory(job.model);
+    if (largest === 0 || largest >= tokens) {
+      return new VmuxError(ErrorCodes.NoBackend, {
+        message: `no backend server is available for ${job.model}`,
+        retryAfterMs: NO_BACKEND_RETRY_AFTER_MS,
+      });
+    }
+    const message = `prompt and answer need ${tokens} tokens; the fleet holds at most ${largest} for one request`;
+    return new VmuxError(ErrorCodes.PromptTooLong, {message});
+  }
+}
+
+function explainAbort(ctx: RequestContext): VmuxError {
+  const late = monotonicMs() >= ctx.deadlineMs;
+  return new VmuxError(
+    late ? ErrorCodes.DeadlineExceeded : ErrorCodes.Cancelled,
+    {ran: RunState.Failed},
+  );
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,6 @@
+export {EngineClient} from './engine_client.js';
+export {type EntryRouter} from './entry_router.js';
+export {EntryServer} from './entry_server.js';
+export {type EntrySettings} from './entry_settings.js';
+export {entrySettingsSchema} from './entry_settings_schema.js';
+export {type EntryStatus} from './entry_status.js';
--- /dev/null
+++ b/packages/entry/src/service_client.ts
@@ -0,0 +1,118 @@
+import type {IncomingHttpHeaders} from 'node:http';
+import type {StoredAnswer} from '@vanillamux/control';
+import {
+  ErrorCodes,
+  fail,
+  RunState,
+  succeed,
+  VmuxError,
+  type Address,
+  type Result,
+} from '@vanillamux/shared';
+import {Agent, request, type Dispatcher} from 'undici';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MAX_ANSWER_BYTES = 1_024 * 1_024;
+const FORWARDED_HEADERS = ['content-type', 'accept', 'idempotency-key'];
+/** Errors before the request was written: nothing can have left. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** A call on a plain service. */
+export interface ServiceCall {
+  readonly method: string;
+  /** Path below the service, with the query string. */
+  readonly path: string;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  readonly requestId: string;
+}
+
+/** Calls plain services over HTTP. */
+export class ServiceClient {
+  private readonly agent = new Agent({
+    connect: {timeout: CONNECT_TIMEOUT_MS},
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  /**
+   * Sends a call once. The error's `ran` is `not_run` only when no byte can
+   * have left. Every call uses a connection of its own: on a kept one, a peer
+   * that closes it meanwhile would leave the outcome unknown.
+   */
+  async send(
+    to: Address,
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<StoredAnswer>> {
+    try {
+      const response = await request(
+        `http://${to.host}:${to.port}${call.path}`,
+        {
+          method: call.method as Dispatcher.HttpMethod,
+          headers: {
+            ...pickHeaders(call.headers),
+            'x-request-id': call.requestId,
+          },
+          body: call.body.length > 0 ? call.body : undefined,
+          reset: true,
+          dispatcher: this.agent,
+          signal,
+        },
+      );
+      return await readAnswer(response);
+    } catch (error) {
+      return fail(toVmuxError(error, signal));
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.agent.destroy();
+  }
+}
+
+function pickHeaders(headers: IncomingHttpHeaders): Record<string, string> {
+  const picked: Record<string, string> = {};
+  for (const name of FORWARDED_HEADERS) {
+    const value = headers[name];
+    if (typeof value === 'string') picked[name] = value;
+  }
+  return picked;
+}
+
+async function readAnswer(
+  response: Dispatcher.ResponseData,
+): Promise<Result<StoredAnswer>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of response.body as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_ANSWER_BYTES) {
+      const message = `answer is larger than ${MAX_ANSWER_BYTES} bytes`;
+      const options = {message, ran: RunState.Unknown};
+      return fail(new VmuxError(ErrorCodes.BackendFailed, options));
+    }
+    chunks.push(chunk);
+  }
+  const contentType = response.headers['content-type'];
+  return succeed({
+    status: response.statusCode,
+    contentType:
+      typeof contentType === 'string'
+        ? contentType
+        : 'application/octet-stream',
+    body: Buffer.concat(chunks).toString('base64'),
+  });
+}
+
+function toVmuxError(error: unknown, signal: AbortSignal): VmuxError {
+  const {code, message} = error as {code?: string; message?: string};
+  const notSent = code !== undefined && NOT_SENT_CODES.has(code);
+  const ran = notSent ? RunState.NotRun : RunState.Unknown;
+  if (signal.aborted) return new VmuxError(ErrorCodes.DeadlineExceeded, {ran});
+  return new VmuxError(ErrorCodes.BackendFailed, {
+    message: `service call failed: ${message ?? String(error)}`,
+    ran,
+    cause: error,
+  });
+}
--- /dev/null
+++ b/packages/fleet/__tests__/whole_path.test.ts
@@ -0,0 +1,197 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import type {OperatorSession} from '@vanillamux/cli';
+import {Caller, Fleet, waitUntilServing} from '../src/index.js';
+
+const DECLARATIONS = 'examples/quickstart';
+const AUTHORIZATION = {authorization: 'Bearer tartu-demo-key'};
+const RECORD_LIMIT_MS = 10_000;
+
+describe('one request of each kind through real processes', () => {
+  let fleet: Fleet;
+  let session: OperatorSession;
+  let caller: Caller;
+
+  before(async () => {
+    fleet = await Fleet.create({
+      folder: mkdtempSync(join(tmpdir(), 'vmux-path-')),
+      failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+      engines: 3,
+      models: ['parcel-7b'],
+      services: {claims: 2},
+      cost: {prefillTokensPerSecond: 1_000_000, memoryTokens: 400_000},
+      entrySettings: {maxBodyBytes: 2_000_000, drainNoticeMs: 0},
+    });
+    fleet.start();
+    session = fleet.openSession();
+    const serving = await waitUntilServing(fleet, session, DECLARATIONS);
+    assert.ok(serving.ok, serving.ok ? '' : serving.error.message);
+    caller = new Caller(fleet.entries[0]!.address);
+  });
+
+  after(async () => {
+    await caller.close();
+    session.close();
+    await fleet.stop();
+  });
+
+  for (const {name, tokens} of [
+    {name: 'a short prompt', tokens: 50},
+    {name: 'a 200,000-token prompt', tokens: 200_000},
+  ]) {
+    it(`streams the whole answer to ${name}`, async () => {
+      const outcome = await caller.chat({
+        apiKey: 'tartu-demo-key',
+        model: 'parcel-7b',
+        prompt: 'x'.repeat(tokens * 4),
+        maxTokens: 12,
+      });
+      assert.equal(outcome.status, 200);
+      assert.equal(outcome.errorCode, undefined);
+      const words = outcome.text.trim().split(' ');
+      assert.deepEqual(
+        words.map(word => word.split('-')[0]),
+        Array.from({length: 12}, (_, index) => `w${index}`),
+      );
+    });
+  }
+
+  it('runs an at-most-once request once and replays its answer', async () => {
+    const submit = (body: string) =>
+      caller.call(
+        '/services/claims/claims',
+        'POST',
+        {...AUTHORIZATION, 'idempotency-key': 'claim-1'},
+        body,
+      );
+    const first = await submit('{"farm":"EE-1"}');
+    const again = await submit('{"farm":"EE-1"}');
+    const otherBody = await submit('{"farm":"EE-2"}');
+    assert.equal(first.status, 200);
+    assert.equal(again.text, first.text);
+    assert.equal(again.headers['idempotent-replayed'], 'true');
+    assert.equal(otherBody.errorCode, 'key_reused');
+    let executed = 0;
+    for (const {address} of fleet.services) {
+      const service = new Caller(address);
+      const list = await service.call('/executions', 'GET');
+      executed += (JSON.parse(list.text) as unknown[]).length;
+      await service.close();
+    }
+    assert.equal(executed, 1);
+  });
+
+  const chatBody = (over: object): string =>
+    JSON.stringify({
+      model: 'parcel-7b',
+      messages: [{role: 'user', content: 'hello'}],
+      ...over,
+    });
+  for (const {name, path, headers, body, status, code} of [
+    {
+      name: 'malformed JSON',
+      path: '/v1/chat/completions',
+      headers: AUTHORIZATION,
+      body: '{"model":',
+      status: 400,
+      code: 'bad_request',
+    },
+    {
+      name: 'a body over the limit',
+      path: '/v1/chat/completions',
+      headers: AUTHORIZATION,
+      body: 'x'.repeat(2_000_001),
+      status: 413,
+      code: 'body_too_large',
+    },
+    {
+      name: 'an unknown model',
+      path: '/v1/chat/completions',
+      headers: AUTHORIZATION,
+      body: chatBody({model: 'no-such-model'}),
+      status: 404,
+      code: 'unknown_model',
+    },
+    {
+      name: 'an unknown class',
+      path: '/v1/chat/completions',
+      headers: AUTHORIZATION,
+      body: chatBody({class: 'no-such-class'}),
+      status: 400,
+      code: 'unknown_class',
+    },
+    {
+      name: 'a missing key',
+      path: '/v1/chat/completions',
+      headers: {},
+      body: chatBody({}),
+      status: 401,
+      code: 'missing_key',
+    },
+    {
+      name: 'a key of no workspace',
+      path: '/v1/chat/completions',
+      headers: {authorization: 'Bearer nobody'},
+      body: chatBody({}),
+      status: 401,
+      code: 'unknown_key',
+    },
+    {
+      name: 'an unknown service',
+      path: '/services/nothing/x',
+      headers: AUTHORIZATION,
+      body: '{}',
+      status: 404,
+      code: 'unknown_service',
+    },
+    {
+      name: 'an at-most-once request without its key',
+      path: '/services/claims/claims',
+      headers: AUTHORIZATION,
+      body: '{}',
+      status: 400,
+      code: 'idempotency_key_required',
+    },
+    {
+      name: 'a prompt and answer longer than the fleet can hold',
+      path: '/v1/chat/completions',
+      headers: AUTHORIZATION,
+      body: chatBody({
+        messages: [{role: 'user', content: 'x'.repeat(1_900_000)}],
+      }),
+      status: 413,
+      code: 'prompt_too_long',
+    },
+  ]) {
+    it(`refuses ${name}`, async () => {
+      const outcome = await caller.call(path, 'POST', headers, body);
+      assert.equal(outcome.status, status);
+      assert.equal(outcome.errorCode, code);
+      const {error} = JSON.parse(outcome.text) as {error: {ran: string}};
+      assert.equal(error.ran, 'not_run');
+    });
+  }
+
+  it('records every admission and end, in chains that verify', async () => {
+    const complete = await fleet.waitFor(
+      'the record',
+      RECORD_LIMIT_MS,
+      async () => {
+        const {entries} = await session.collectRecord({limit: 1_000});
+        const count = (kind: string) =>
+          entries.filter(entry => entry.kind === kind).length;
+        return (
+          count('admitted') > 0 && count('admitted') === count('completed')
+        );
+      },
+    );
+    assert.ok(complete.ok);
+    const {faults, missing, chains} = await session.verifyRecord();
+    assert.deepEqual(faults, []);
+    assert.deepEqual(missing, []);
+    assert.equal(chains, 3);
+  });
+});
--- /dev/null
+++ b/packages/fleet/src/fleet_plan.ts
@@ -0,0 +1,25 @@
+/** Cost overrides of stand-in engines; see the settings of `vmux-engine`. */
+export type EngineCostPlan = Readonly<Record<string, number>>;
+
+/** What a fleet of processes on this machine consists of. */
+export interface FleetPlan {
+  /** Folder for settings, logs and data. */
+  readonly folder: string;
+  readonly failureDomains: readonly string[];
+  readonly controlHosts?: number;
+  readonly entriesPerDomain?: number;
+  readonly engines?: number;
+  readonly models?: readonly string[];
+  readonly cost?: EngineCostPlan;
+  readonly report?: Readonly<Record<string, number>>;
+  /** Stand-in processes per plain service. */
+  readonly services?: Readonly<Record<string, number>>;
+  /** First port; free ports are picked when absent. */
+  readonly basePort?: number;
+  /** More settings for every entry host. */
+  readonly entrySettings?: Readonly<Record<string, unknown>>;
+  /** More settings for every control host. */
+  readonly controlSettings?: Readonly<Record<string, unknown>>;
+  /** Whether engines check fencing numbers. */
+  readonly checksFencing?: boolean;
+}
--- /dev/null
+++ b/packages/fleet/src/pick_ports.ts
@@ -0,0 +1,24 @@
+import {createServer, type AddressInfo, type Server} from 'node:net';
+
+const LOOPBACK = '127.0.0.1';
+
+/** Finds free ports on loopback. */
+export async function pickPorts(count: number): Promise<number[]> {
+  const servers: Server[] = [];
+  for (let index = 0; index < count; index++) servers.push(await bind());
+  const ports = servers.map(server => (server.address() as AddressInfo).port);
+  await Promise.all(servers.map(close));
+  return ports;
+}
+
+function bind(): Promise<Server> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, LOOPBACK, () => resolve(server));
+  });
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise(resolve => server.close(() => resolve()));
+}
--- /dev/null
+++ b/packages/fleet/src/wait_until_serving.ts
@@ -0,0 +1,85 @@
+import {randomUUID} from 'node:crypto';
+import type {OperatorSession} from '@vanillamux/cli';
+import {loadDeclarations} from '@vanillamux/cli';
+import type {EntryStatus} from '@vanillamux/entry';
+import {
+  ErrorCodes,
+  fail,
+  succeed,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import type {Fleet} from './fleet.js';
+
+const START_LIMIT_MS = 30_000;
+
+/** Puts declarations in force and waits until every host serves with them. */
+export async function waitUntilServing(
+  fleet: Fleet,
+  session: OperatorSession,
+  declarations: string,
+): Promise<Result<number>> {
+  const elected = await fleet.waitFor('an election', START_LIMIT_MS, async () =>
+    isLed(session),
+  );
+  if (!elected.ok) return elected;
+  const version = await putInForce(session, declarations);
+  if (!version.ok) return version;
+  const backends = fleet.engines.length + fleet.services.length;
+  const serving = await fleet.waitFor(
+    'that every entry host serves',
+    START_LIMIT_MS,
+    async () => {
+      const answers = await session.callEntries<EntryStatus>((api, signal) =>
+        api.status.query(undefined, {signal}),
+      );
+      return answers.every(
+        ({result}) =>
+          result.ok &&
+          result.value.isReady &&
+          result.value.version >= version.value &&
+          result.value.backends >= backends,
+      );
+    },
+  );
+  return serving.ok ? version : serving;
+}
+
+async function isLed(session: OperatorSession): Promise<boolean> {
+  const current = await session.control.callLeader((api, signal) =>
+    api.declarations.current.query(undefined, {signal}),
+  );
+  return current.ok;
+}
+
+async function putInForce(
+  session: OperatorSession,
+  path: string,
+): Promise<Result<number>> {
+  const loaded = await loadDeclarations(path);
+  if (!loaded.ok) {
+    const {message} = loaded.error;
+    return fail(new VmuxError(ErrorCodes.BadSettings, {message}));
+  }
+  const current = await session.control.callLeader((api, signal) =>
+    api.declarations.current.query(undefined, {signal}),
+  );
+  if (!current.ok) return current;
+  const {version, document} = current.value;
+  if (JSON.stringify(document) === JSON.stringify(loaded.value)) {
+    return succeed(version);
+  }
+  const applied = await session.control.callLeader((api, signal) =>
+    api.declarations.declare.mutate(
+      {
+        commandId: randomUUID(),
+        expectedVersion: version,
+        document: loaded.value,
+        operator: session.settings.operator,
+      },
+      {signal},
+    ),
+  );
+  if (!applied.ok) return applied;
+  return succeed(applied.value.version);
+}
--- /dev/null
+++ b/packages/membership/src/delta_schema.ts
@@ -0,0 +1,31 @@
+import {announcementSchema} from '@vanillamux/protocol';
+import {z} from 'zod';
+
+const MAX_DELTAS = 4_096;
+const count = z.number();
+
+/**
+ * A load report in short form: id, incarnation, sequence, age in milliseconds,
+ * queued prefill tokens, running streams, free tokens.
+ */
+const loadTupleSchema = z.tuple([
+  z.string(),
+  count,
+  count,
+  count,
+  count,
+  count,
+  count,
+]);
+
+/** A batch of changes that entry hosts send to each other. */
+export const deltaSchema = z.object({
+  from: z.string(),
+  /** Whole announcements, for backend servers new to the receiver. */
+  announcements: z
+    .array(z.object({announcement: announcementSchema, ageMs: z.number()}))
+    .max(MAX_DELTAS),
+  loads: z.array(loadTupleSchema).max(MAX_DELTAS),
+  /** Set when the sender is shutting down. */
+  leaving: z.boolean(),
+});
--- /dev/null
+++ b/packages/membership/src/entry_mesh.ts
@@ -0,0 +1,139 @@
+import {RpcClient} from '@vanillamux/rpc';
+import {getLogger, monotonicMs, sleep, type Address} from '@vanillamux/shared';
+import type {Announcement} from '@vanillamux/protocol';
+import type {BackendTable} from './backend_table.js';
+import type {Delta} from './delta.js';
+import {DeltaOutbox} from './delta_outbox.js';
+import type {MeshRouterRoot} from './mesh_router.js';
+
+const BATCH_INTERVAL_MS = 100;
+const IDLE_BATCH_INTERVAL_MS = 1_000;
+const EXPIRE_INTERVAL_MS = 100;
+const PEER_LEASE_MS = 3_000;
+const CALL_TIMEOUT_MS = 1_000;
+
+const log = getLogger('membership');
+
+/** Options of an `EntryMesh`. */
+export interface EntryMeshOptions {
+  readonly selfId: string;
+  readonly peers: readonly Address[];
+  readonly table: BackendTable;
+}
+
+/** Spreads announcements between the entry hosts. One task per peer. */
+export class EntryMesh {
+  private readonly outboxes = new Map<Address, DeltaOutbox>();
+  private readonly heardFrom = new Map<string, number>();
+  private leaving = false;
+
+  constructor(private readonly options: EntryMeshOptions) {
+    for (const peer of options.peers) {
+      this.outboxes.set(peer, new DeltaOutbox());
+    }
+  }
+
+  /** Starts the tasks, which end when `signal` aborts. */
+  run(signal: AbortSignal): void {
+    for (const [peer, outbox] of this.outboxes) {
+      void this.runPeer(peer, outbox, signal);
+    }
+    void this.runExpiry(signal);
+  }
+
+  /** Takes an announcement that a backend server made to this host. */
+  announce(announcement: Announcement): boolean {
+    const isNews = this.options.table.apply(announcement);
+    if (!isNews) return false;
+    const record = this.options.table.get(announcement.id);
+    if (!record) return true;
+    for (const outbox of this.outboxes.values()) {
+      outbox.add(record.announcement, record.heardMs);
+    }
+    return true;
+  }
+
+  /** Takes a batch from a peer. Returns the ids it must send in whole. */
+  receive(delta: Delta): string[] {
+    const {table} = this.options;
+    if (delta.leaving) this.heardFrom.delete(delta.from);
+    else this.heardFrom.set(delta.from, monotonicMs());
+    for (const {announcement, ageMs} of delta.announcements) {
+      table.apply(announcement, ageMs);
+    }
+    const unknown: string[] = [];
+    for (const [id, incarnation, sequence, ageMs, ...figures] of delta.loads) {
+      const present = table.get(id)?.announcement;
+      if (present?.incarnation !== incarnation) {
+        unknown.push(id);
+        continue;
+      }
+      const [queuedPrefillTokens, runningStreams, freeTokens] = figures;
+      table.apply(
+        {
+          ...present,
+          sequence,
+          load: {queuedPrefillTokens, runningStreams, freeTokens},
+          cache: {stored: [], evicted: []},
+        },
+        ageMs,
+      );
+    }
+    return unknown;
+  }
+
+  /** Ids of the entry hosts heard within the lease, this one included. */
+  liveEntries(): string[] {
+    const nowMs = monotonicMs();
+    const live = [...this.heardFrom]
+      .filter(([, heardMs]) => nowMs - heardMs < PEER_LEASE_MS)
+      .map(([id]) => id);
+    return [this.options.selfId, ...live].sort();
+  }
+
+  /** Tells the peers with the next batch that this host leaves. */
+  leave(): void {
+    this.leaving = true;
+  }
+
+  private async runPeer(
+    peer: Address,
+    outbox: DeltaOutbox,
+    signal: AbortSignal,
+  ): Promise<void> {
+    const client = new RpcClient<MeshRouterRoot>({address: peer});
+    let sentMs = 0;
+    while (!signal.aborted) {
+      await sleep(BATCH_INTERVAL_MS, signal);
+      const idleMs = monotonicMs() - sentMs;
+      if (outbox.isEmpty && idleMs < IDLE_BATCH_INTERVAL_MS) continue;
+      sentMs = monotonicMs();
+      await this.sendBatch(client, outbox);
+    }
+    client.close();
+  }
+
+  private async sendBatch(
+    client: RpcClient<MeshRouterRoot>,
+    outbox: DeltaOutbox,
+  ): Promise<void> {
+    const delta = outbox.take(this.options.selfId, this.leaving);
+    const result = await client.call(
+      (api, signal) => api.mesh.push.mutate(delta, {signal}),
+      CALL_TIMEOUT_MS,
+    );
+    if (!result.ok) {
+      log.debug('A peer took no batch.', {port: client.address.port});
+      outbox.reset();
+    } else if (result.value.length > 0) {
+      outbox.reset();
+    }
+  }
+
+  private async runExpiry(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await sleep(EXPIRE_INTERVAL_MS, signal);
+      this.options.table.expire();
+    }
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/backend_kind.ts
@@ -0,0 +1,5 @@
+/** What a backend server runs. */
+export enum BackendKind {
+  Model = 'model',
+  Service = 'service',
+}
--- /dev/null
+++ b/packages/protocol/src/backend_state.ts
@@ -0,0 +1,5 @@
+/** Whether a backend server takes new work. */
+export enum BackendState {
+  Ready = 'ready',
+  Leaving = 'leaving',
+}
--- /dev/null
+++ b/packages/protocol/src/estimate_tokens.ts
@@ -0,0 +1,9 @@
+const CHARACTERS_PER_TOKEN = 4;
+
+/**
+ * Estimates the tokens of a text from its length. Engines report the exact
+ * number in their answers.
+ */
+export function estimateTokens(text: string): number {
+  return Math.ceil(text.length / CHARACTERS_PER_TOKEN);
+}
--- /dev/null
+++ b/packages/protocol/src/frame_kind.ts
@@ -0,0 +1,8 @@
+/** Kinds of frames that an engine streams. */
+export enum FrameKind {
+  /** Sent while there is nothing else, to show the stream is alive. */
+  Heartbeat = 'heartbeat',
+  Token = 'token',
+  Done = 'done',
+  Error = 'error',
+}
--- /dev/null
+++ b/packages/protocol/src/generate_request_schema.ts
@@ -0,0 +1,24 @@
+import {z} from 'zod';
+
+const tokens = z.number().int().min(0);
+
+/** Body of `POST /v1/generate`, from an entry host to an engine. */
+export const generateRequestSchema = z.object({
+  requestId: z.string().min(1),
+  /** Attempts of one request are numbered from 1. */
+  attempt: z.number().int().min(1),
+  model: z.string(),
+  /** Prompt text, or empty for a segment whose KV is imported. */
+  prompt: z.string(),
+  promptTokens: tokens,
+  /** Block hashes of the prompt, for the prefix cache. */
+  blocks: z.array(z.string()),
+  maxTokens: z.number().int().min(1),
+  /** Tokens that earlier attempts already delivered. */
+  deliveredTokens: tokens.default(0),
+  priority: z.number().int().min(0),
+  /** The engine releases the memory when no renewal comes for so long. */
+  leaseMs: z.number().int().positive(),
+  /** Session whose KV cache the decode continues, for gangs. */
+  session: z.string().optional(),
+});
--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,30 @@
+export {type Announcement, type LoadReport} from './announcement.js';
+export {announcementSchema} from './announcement_schema.js';
+export {BackendKind} from './backend_kind.js';
+export {BackendState} from './backend_state.js';
+export {type ChainFault} from './chain_fault.js';
+export {checkReferences, type ReferenceFault} from './check_references.js';
+export {
+  type ClassDeclaration,
+  type Declarations,
+  type RoutingRule,
+  type ServiceDeclaration,
+  type WorkspaceDeclaration,
+} from './declarations.js';
+export {declarationsSchema} from './declarations_schema.js';
+export {type DeclaredVersion} from './declared_version.js';
+export {estimateTokens} from './estimate_tokens.js';
+export {type Frame} from './frame.js';
+export {FrameKind} from './frame_kind.js';
+export {frameSchema} from './frame_schema.js';
+export {type GenerateRequest} from './generate_request.js';
+export {generateRequestSchema} from './generate_request_schema.js';
+export {EMPTY_CHAIN_HASH, hashRecordEntry} from './hash_record_entry.js';
+export {
+  type Candidate,
+  type RecordContent,
+  type RecordEntry,
+} from './record_entry.js';
+export {recordEntrySchema} from './record_entry_schema.js';
+export {RecordKind} from './record_kind.js';
+export {verifyChain} from './verify_chain.js';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,15 @@
+export {type BackendView} from './backend_view.js';
+export {createPolicy} from './create_policy.js';
+export {estimateFirstTokenMs} from './estimate_first_token_ms.js';
+export {
+  EstimatedFirstTokenPolicy,
+  type EstimatedFirstTokenOptions,
+} from './estimated_first_token_policy.js';
+export {InFlightLedger, type InFlight} from './in_flight_ledger.js';
+export {LeastOutstandingPolicy} from './least_outstanding_policy.js';
+export {PolicyName} from './policy_name.js';
+export {PrefixIndex} from './prefix_index.js';
+export {RoundRobinPolicy} from './round_robin_policy.js';
+export {type RoutingDecision} from './routing_decision.js';
+export {RoutingPolicy} from './routing_policy.js';
+export {type RoutingRequest} from './routing_request.js';
--- /dev/null
+++ b/packages/routing/src/round_robin_policy.ts
@@ -0,0 +1,21 @@
+import type {BackendView} from './backend_view.js';
+import {createDecision} from './create_decision.js';
+import {estimateFirstTokenMs} from './estimate_first_token_ms.js';
+import type {RoutingDecision} from './routing_decision.js';
+import {RoutingPolicy} from './routing_policy.js';
+import type {RoutingRequest} from './routing_request.js';
+
+/** Baseline: takes the candidates in turn. */
+export class RoundRobinPolicy extends RoutingPolicy {
+  readonly name = 'round_robin';
+  private turn = 0;
+
+  choose(
+    request: RoutingRequest,
+    candidates: readonly BackendView[],
+  ): RoutingDecision {
+    const backend = candidates[this.turn++ % candidates.length]!;
+    const estimateMs = estimateFirstTokenMs(request, backend);
+    return createDecision(request, {backend, estimateMs}, []);
+  }
+}
--- /dev/null
+++ b/packages/rpc/src/index.ts
@@ -0,0 +1,4 @@
+export {rpcBuilder} from './rpc_builder.js';
+export {RpcClient, type RpcClientOptions} from './rpc_client.js';
+export {RPC_PATH, serveRpc} from './serve_rpc.js';
+export {unwrap} from './unwrap.js';
--- /dev/null
+++ b/packages/rpc/src/rpc_client.ts
@@ -0,0 +1,124 @@
+import {
+  createTRPCClient,
+  createWSClient,
+  TRPCClientError,
+  wsLink,
+  type TRPCClient,
+} from '@trpc/client';
+import type {AnyRouter} from '@trpc/server';
+import {
+  ErrorCodes,
+  fail,
+  RunState,
+  succeed,
+  VmuxError,
+  type Address,
+  type Result,
+  type VmuxErrorBody,
+} from '@vanillamux/shared';
+import {WebSocket} from 'ws';
+import {RPC_PATH} from './serve_rpc.js';
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+const PING_INTERVAL_MS = 1_000;
+const PONG_TIMEOUT_MS = 1_000;
+const FIRST_RECONNECT_MS = 20;
+const MAX_RECONNECT_MS = 500;
+
+/** Options of an `RpcClient`. */
+export interface RpcClientOptions {
+  readonly address: Address;
+  /** Time after which a call without an answer fails. */
+  readonly timeoutMs?: number;
+}
+
+/**
+ * Calls the router of one process over a WebSocket that is replaced when it
+ * breaks or stops answering pings.
+ */
+export class RpcClient<R extends AnyRouter> {
+  readonly address: Address;
+  private readonly timeoutMs: number;
+  private socket: ReturnType<typeof createWSClient>;
+  private client: TRPCClient<R>;
+
+  constructor(options: RpcClientOptions) {
+    this.address = options.address;
+    this.timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.socket = this.connect();
+    this.client = this.createClient();
+  }
+
+  /**
+   * Runs one call. A timeout or a broken connection gives an error whose
+   * `ran` is `Unknown`, because the peer may have done the work.
+   */
+  async call<T>(
+    run: (client: TRPCClient<R>, signal: AbortSignal) => Promise<T>,
+    timeoutMs = this.timeoutMs,
+  ): Promise<Result<T>> {
+    const socket = this.socket;
+    const signal = AbortSignal.timeout(timeoutMs);
+    try {
+      return succeed(await run(this.client, signal));
+    } catch (error) {
+      const typed = toVmuxError(error, signal, this.address);
+      if (typed.code === ErrorCodes.Timeout) this.replaceSocket(socket);
+      return fail(typed);
+    }
+  }
+
+  /** Closes the connection; calls in flight fail. */
+  close(): void {
+    void this.socket.close();
+  }
+
+  /** A connection that lost an answer may have gone silent for good. */
+  private replaceSocket(silent: ReturnType<typeof createWSClient>): void {
+    if (this.socket !== silent) return;
+    void silent.close();
+    this.socket = this.connect();
+    this.client = this.createClient();
+  }
+
+  private connect(): ReturnType<typeof createWSClient> {
+    const {host, port} = this.address;
+    return createWSClient({
+      url: `ws://${host}:${port}${RPC_PATH}`,
+      WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
+      retryDelayMs: attempt =>
+        Math.min(FIRST_RECONNECT_MS * 2 ** attempt, MAX_RECONNECT_MS),
+      keepAlive: {
+        enabled: true,
+        intervalMs: PING_INTERVAL_MS,
+        pongTimeoutMs: PONG_TIMEOUT_MS,
+      },
+    });
+  }
+
+  private createClient(): TRPCClient<R> {
+    return createTRPCClient<R>({
+      links: [wsLink({client: this.socket} as Parameters<typeof wsLink<R>>[0])],
+    });
+  }
+}
+
+function toVmuxError(
+  error: unknown,
+  signal: AbortSignal,
+  address: Address,
+): VmuxError {
+  const where = `${address.host}:${address.port}`;
+  if (error instanceof TRPCClientError) {
+    const body = (error.data as {vmux?: VmuxErrorBody} | undefined)?.vmux;
+    if (body) return VmuxError.fromBody(body);
+  }
+  const ran = RunState.Unknown;
+  if (signal.aborted) {
+    const message = `${where} did not answer in time`;
+    return new VmuxError(ErrorCodes.Timeout, {message, ran});
+  }
+  const reason = error instanceof Error ? error.message : String(error);
+  const message = `call to ${where} failed: ${reason}`;
+  return new VmuxError(ErrorCodes.TransportFailed, {message, ran});
+}
--- /dev/null
+++ b/packages/shared/src/event_bus.ts
@@ -0,0 +1,23 @@
+import {EventEmitter} from 'node:events';
+import {fromEvent, type Stream} from 'most';
+
+const CHANNEL = 'item';
+
+/** A push source whose items are read as a `most` stream. */
+export class EventBus<T> {
+  private readonly emitter = new EventEmitter();
+
+  constructor() {
+    this.emitter.setMaxListeners(0);
+  }
+
+  /** Delivers an item to every current observer, synchronously. */
+  emit(item: T): void {
+    this.emitter.emit(CHANNEL, item);
+  }
+
+  /** Returns the stream of items emitted from now on. */
+  stream(): Stream<T> {
+    return fromEvent<T>(CHANNEL, this.emitter);
+  }
+}
--- /dev/null
+++ b/packages/shared/src/event_kind.ts
@@ -0,0 +1,23 @@
+/** Kinds of events on the time line. */
+export enum EventKind {
+  Started = 'started',
+  Stopping = 'stopping',
+  LeaderElected = 'leader_elected',
+  LeaderLost = 'leader_lost',
+  MemberChanged = 'member_changed',
+  Declared = 'declared',
+  InForce = 'in_force',
+  Stale = 'stale',
+  BackendJoined = 'backend_joined',
+  BackendLeaving = 'backend_leaving',
+  BackendLost = 'backend_lost',
+  Admitted = 'admitted',
+  Refused = 'refused',
+  Routed = 'routed',
+  AttemptFailed = 'attempt_failed',
+  FirstToken = 'first_token',
+  Completed = 'completed',
+  Reserved = 'reserved',
+  Settled = 'settled',
+  FaultInjected = 'fault_injected',
+}
--- /dev/null
+++ b/packages/shared/src/find_field_line.ts
@@ -0,0 +1,14 @@
+import {isNode, type Document, type LineCounter} from 'yaml';
+
+/** Finds the line of the deepest node of `path` that the document holds. */
+export function findFieldLine(
+  document: Document,
+  path: ReadonlyArray<string | number>,
+  lines: LineCounter,
+): number {
+  for (let depth = path.length; depth > 0; depth--) {
+    const node = document.getIn(path.slice(0, depth), true);
+    if (isNode(node) && node.range) return lines.linePos(node.range[0]).line;
+  }
+  return 1;
+}
--- /dev/null
+++ b/packages/shared/src/hybrid_clock.ts
@@ -0,0 +1,41 @@
+const COUNTER_DIGITS = 5;
+
+/**
+ * A hybrid logical clock (Kulkarni et al., 2014). Timestamps are strings that
+ * sort in causal order: ISO time in milliseconds, then a counter.
+ */
+export class HybridClock {
+  private wallMs = 0;
+  private counter = 0;
+
+  constructor(private readonly readWallMs: () => number = Date.now) {}
+
+  /** Returns a timestamp later than every one returned or observed before. */
+  now(): string {
+    const wall = this.readWallMs();
+    if (wall > this.wallMs) {
+      this.wallMs = wall;
+      this.counter = 0;
+    } else {
+      this.counter++;
+    }
+    return this.format();
+  }
+
+  /** Advances the clock past a timestamp received from another process. */
+  observe(timestamp: string): void {
+    const [iso, counterText] = timestamp.split('~');
+    const wall = Date.parse(iso ?? '');
+    const counter = Number(counterText);
+    if (!Number.isFinite(wall) || !Number.isInteger(counter)) return;
+    if (wall < this.wallMs) return;
+    this.counter =
+      wall === this.wallMs ? Math.max(this.counter, counter) : counter;
+    this.wallMs = wall;
+  }
+
+  private format(): string {
+    const iso = new Date(this.wallMs).toISOString();
+    return `${iso}~${String(this.counter).padStart(COUNTER_DIGITS, '0')}`;
+  }
+}
--- /dev/null
+++ b/packages/shared/src/index.ts
@@ -0,0 +1,37 @@
+export {type Address} from './address.js';
+export {addressSchema} from './address_schema.js';
+export {BoundedRing} from './bounded_ring.js';
+export {configureLogging, type LoggingOptions} from './configure_logging.js';
+export {Deferred} from './deferred.js';
+export {ErrorCodes} from './error_codes.js';
+export {ERROR_DESCRIPTORS, type ErrorDescriptor} from './error_descriptors.js';
+export {EventBus} from './event_bus.js';
+export {EventKind} from './event_kind.js';
+export {fail} from './fail.js';
+export {findFieldLine} from './find_field_line.js';
+export {getLogger} from './get_logger.js';
+export {HybridClock} from './hybrid_clock.js';
+export {invariant} from './invariant.js';
+export {listen} from './listen.js';
+export {loadSettings} from './load_settings.js';
+export {LogFormat} from './log_format.js';
+export {LogLevel} from './log_level.js';
+export {type Logger} from './logger.js';
+export {monotonicMs} from './monotonic_ms.js';
+export {parseYaml} from './parse_yaml.js';
+export {type Result} from './result.js';
+export {runBinary, type BinaryOptions, type Stoppable} from './run_binary.js';
+export {RunState} from './run_state.js';
+export {SettingsError, type SettingsFault} from './settings_error.js';
+export {sleep} from './sleep.js';
+export {succeed} from './succeed.js';
+export {Timeline, type TimelineOptions} from './timeline.js';
+export {type TimelineEvent} from './timeline_event.js';
+export {VERSION} from './version.js';
+export {
+  VmuxError,
+  type VmuxErrorBody,
+  type VmuxErrorOptions,
+} from './vmux_error.js';
+export {waitForSignal} from './wait_for_signal.js';
+export {Wakeup} from './wakeup.js';
--- /dev/null
+++ b/packages/shared/src/log_format.ts
@@ -0,0 +1,5 @@
+/** How log lines are written. */
+export enum LogFormat {
+  Text = 'text',
+  Json = 'json',
+}
--- /dev/null
+++ b/packages/shared/src/monotonic_ms.ts
@@ -0,0 +1,4 @@
+/** Milliseconds on the monotonic clock, for durations and leases only. */
+export function monotonicMs(): number {
+  return performance.now();
+}
--- /dev/null
+++ b/packages/storage/__tests__/wal.test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {Wal} from '../src/index.js';
+import {FakeDisk} from './fake_disk.js';
+
+const SEGMENT = 'segment-0000000001.wal';
+const RUNS = Number(process.env['VMUX_PROPERTY_RUNS'] ?? 200);
+const SEED = 20_261_203;
+const property = {numRuns: RUNS, seed: SEED};
+
+async function openWal(disk: FakeDisk): Promise<{wal: Wal; texts: string[]}> {
+  const opened = await Wal.open(disk);
+  assert.ok(opened.ok, opened.ok ? '' : opened.error.message);
+  const {wal, payloads} = opened.value;
+  return {wal, texts: payloads.map(payload => payload.toString())};
+}
+
+/** Appends texts; syncs after each `true`. Returns what was acknowledged. */
+async function write(
+  wal: Wal,
+  steps: ReadonlyArray<readonly [string, boolean]>,
+): Promise<{written: string[]; synced: string[]}> {
+  const written: string[] = [];
+  let synced: string[] = [];
+  try {
+    for (const [text, sync] of steps) {
+      wal.append(Buffer.from(text));
+      written.push(text);
+      if (!sync) continue;
+      await wal.sync();
+      synced = written.slice();
+    }
+  } catch (error) {
+    assert.match(String(error), /power failed/);
+  }
+  return {written, synced};
+}
+
+const steps = fc.array(fc.tuple(fc.string(), fc.boolean()), {maxLength: 20});
+
+describe('write-ahead log', () => {
+  it('loses nothing acknowledged at any power failure', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        steps,
+        fc.nat(60),
+        fc.nat(500),
+        async (plan, operations, torn) => {
+          const disk = new FakeDisk();
+          const {wal} = await openWal(disk);
+          disk.operationsLeft = operations;
+          const {written, synced} = await write(wal, plan);
+          const {texts} = await openWal(disk.crash(() => torn));
+          assert.deepEqual(texts.slice(0, synced.length), synced);
+          assert.deepEqual(texts, written.slice(0, texts.length));
+        },
+      ),
+      property,
+    );
+  });
+
+  it('names damage before the tail and never skips it', async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(fc.string({minLength: 1}), {minLength: 3, maxLength: 10}),
+        fc.nat(),
+        async (texts, bit) => {
+          const disk = new FakeDisk();
+          const {wal} = await openWal(disk);
+          await write(
+            wal,
+            texts.map(text => [text, true] as const),
+          );
+          disk.flipBit(SEGMENT, bit);
+          const opened = await Wal.open(disk);
+          if (!opened.ok) {
+            assert.equal(opened.error.code, 'log_damaged');
+            return;
+          }
+          // Only the last record has no later one that proves it was synced.
+          const {payloads} = opened.value;
+          assert.equal(payloads.length, texts.length - 1);
+          assert.deepEqual(payloads.map(String), texts.slice(0, -1));
+        },
+      ),
+      property,
+    );
+  });
+
+  it('keeps what follows a rotation, at any power failure during it', async () => {
+    for (let operations = 0; operations < 8; operations++) {
+      const disk = new FakeDisk();
+      const {wal} = await openWal(disk);
+      await write(wal, [
+        ['old', true],
+        ['kept', true],
+      ]);
+      disk.operationsLeft = operations;
+      const rotated = await wal
+        .rotate(() => [Buffer.from('kept')])
+        .then(() => write(wal, [['new', true]]))
+        .catch(() => ({synced: []}));
+      const {texts} = await openWal(disk.crash(() => 0));
+      assert.ok(texts.includes('kept'));
+      if (rotated.synced.length > 0) assert.deepEqual(texts, ['kept', 'new']);
+    }
+  });
+
+  it('makes many waiting records durable with few syncs', async () => {
+    const {wal} = await openWal(new FakeDisk());
+    const waits: Array<Promise<void>> = [];
+    for (let index = 0; index < 64; index++) {
+      wal.append(Buffer.from(`record ${index}`));
+      waits.push(wal.sync());
+    }
+    await Promise.all(waits);
+    assert.equal(wal.stats.records, 64);
+    assert.ok(wal.stats.syncs <= 2, `${wal.stats.syncs} syncs`);
+  });
+});
--- /dev/null
+++ b/packages/storage/src/index.ts
@@ -0,0 +1,11 @@
+export {
+  decodeRecord,
+  encodeRecord,
+  RECORD_HEADER_BYTES,
+} from './record_codec.js';
+export {CheckedFile} from './checked_file.js';
+export {Disk} from './disk.js';
+export {LogFile} from './log_file.js';
+export {NodeDisk, type NodeDiskOptions} from './node_disk.js';
+export {scanRecords, type ScannedLog} from './scan_records.js';
+export {Wal, type OpenedWal, type WalStats} from './wal.js';
--- /dev/null
+++ b/packages/storage/src/node_disk.ts
@@ -0,0 +1,92 @@
+import {mkdir, open, readFile, readdir, rename, rm} from 'node:fs/promises';
+import {join} from 'node:path';
+import {
+  ErrorCodes,
+  fail,
+  succeed,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import {Disk} from './disk.js';
+import type {LogFile} from './log_file.js';
+import {NodeLogFile} from './node_log_file.js';
+
+/** Options of `NodeDisk.open`. */
+export interface NodeDiskOptions {
+  /** Delay added to each sync, to model a slower disk. */
+  readonly syncDelayMs?: number;
+}
+
+/** A folder on a real disk. */
+export class NodeDisk extends Disk {
+  private constructor(
+    private readonly folder: string,
+    private readonly syncDelayMs: number,
+  ) {
+    super();
+  }
+
+  /** Creates the folder if needed and checks that it can be written. */
+  static async openFolder(
+    folder: string,
+    options: NodeDiskOptions = {},
+  ): Promise<Result<NodeDisk>> {
+    try {
+      await mkdir(folder, {recursive: true});
+      const probe = join(folder, '.probe');
+      const handle = await open(probe, 'w');
+      await handle.close();
+      await rm(probe);
+    } catch (cause) {
+      const code = (cause as NodeJS.ErrnoException).code;
+      const message = `data folder ${folder} cannot be written (${code}); create it or set another dataFolder`;
+      return fail(
+        new VmuxError(ErrorCodes.DataFolderUnusable, {message, cause}),
+      );
+    }
+    return succeed(new NodeDisk(folder, options.syncDelayMs ?? 0));
+  }
+
+  async list(): Promise<string[]> {
+    return readdir(this.folder);
+  }
+
+  async read(name: string): Promise<Buffer | undefined> {
+    try {
+      return await readFile(join(this.folder, name));
+    } catch (error) {
+      if ((error as NodeJS.ErrnoException).code === 'ENOENT') return undefined;
+      throw error;
+    }
+  }
+
+  async open(name: string): Promise<LogFile> {
+    const handle = await open(join(this.folder, name), 'a');
+    await this.syncFolder();
+    return new NodeLogFile(handle, this.syncDelayMs);
+  }
+
+  async replace(name: string, content: Uint8Array): Promise<void> {
+    const temporary = `${name}.tmp`;
+    const handle = await open(join(this.folder, temporary), 'w');
+    await handle.writeFile(content);
+    await handle.datasync();
+    await handle.close();
+    await this.rename(temporary, name);
+  }
+
+  async rename(from: string, to: string): Promise<void> {
+    await rename(join(this.folder, from), join(this.folder, to));
+    await this.syncFolder();
+  }
+
+  async remove(name: string): Promise<void> {
+    await rm(join(this.folder, name), {force: true});
+  }
+
+  private async syncFolder(): Promise<void> {
+    const handle = await open(this.folder, 'r');
+    await handle.sync();
+    await handle.close();
+  }
+}
--- /dev/null
+++ b/packages/storage/src/wal.ts
@@ -0,0 +1,133 @@
+import {succeed, type Result} from '@vanillamux/shared';
+import type {Disk} from './disk.js';
+import type {LogFile} from './log_file.js';
+import {encodeRecord} from './record_codec.js';
+import {scanRecords} from './scan_records.js';
+
+const SEGMENT_PATTERN = /^segment-(\d{10})\.wal$/;
+const SEGMENT_DIGITS = 10;
+
+/** Counters of a write-ahead log, since it was opened. */
+export interface WalStats {
+  records: number;
+  syncs: number;
+  bytes: number;
+}
+
+/** A log together with the records found when it was opened. */
+export interface OpenedWal {
+  readonly wal: Wal;
+  readonly payloads: Buffer[];
+}
+
+/**
+ * A write-ahead log with group commit: records appended while a sync runs are
+ * made durable together by the next one.
+ */
+export class Wal {
+  readonly stats: WalStats = {records: 0, syncs: 0, bytes: 0};
+  private queue: Uint8Array[] = [];
+  private nextFlush?: Promise<void>;
+  private work: Promise<void> = Promise.resolve();
+
+  private constructor(
+    private readonly disk: Disk,
+    private file: LogFile,
+    private segment: number,
+    private syncedBytes: number,
+  ) {}
+
+  /** Opens the newest segment, cuts a torn tail and returns its records. */
+  static async open(disk: Disk): Promise<Result<OpenedWal>> {
+    const segments = await listSegments(disk);
+    const segment = segments.at(-1) ?? 1;
+    const name = segmentName(segment);
+    const bytes = (await disk.read(name)) ?? Buffer.alloc(0);
+    const scanned = scanRecords(bytes, name);
+    if (!scanned.ok) return scanned;
+    const {payloads, intactBytes} = scanned.value;
+    const file = await disk.open(name);
+    if (intactBytes < bytes.length) await file.truncate(intactBytes);
+    await file.sync();
+    for (const old of segments.slice(0, -1)) {
+      await disk.remove(segmentName(old));
+    }
+    const wal = new Wal(disk, file, segment, intactBytes);
+    return succeed({wal, payloads});
+  }
+
+  /** Adds a record; it is durable once a later `sync` resolves. */
+  append(payload: Uint8Array): void {
+    this.queue.push(payload);
+  }
+
+  /** Resolves when every record appended so far is durable. */
+  sync(): Promise<void> {
+    this.nextFlush ??= this.enqueue(() => {
+      this.nextFlush = undefined;
+      return this.flush();
+    });
+    return this.nextFlush;
+  }
+
+  /**
+   * Starts a new segment that holds `payloads` and drops the older ones.
+   * Records still queued follow in the new segment.
+   */
+  rotate(payloads: () => Uint8Array[]): Promise<void> {
+    return this.enqueue(() => this.startSegment(payloads()));
+  }
+
+  /** Flushes and closes the log. */
+  async close(): Promise<void> {
+    await this.sync();
+    await this.file.close();
+  }
+
+  private enqueue(step: () => Promise<void>): Promise<void> {
+    const done = this.work.then(step);
+    this.work = done;
+    return done;
+  }
+
+  private async flush(): Promise<void> {
+    if (this.queue.length === 0) return;
+    const payloads = this.queue;
+    this.queue = [];
+    const bytes = Buffer.concat(
+      payloads.map(payload => encodeRecord(payload, this.syncedBytes)),
+    );
+    await this.file.append(bytes);
+    await this.file.sync();
+    this.syncedBytes += bytes.length;
+    this.stats.records += payloads.length;
+    this.stats.bytes += bytes.length;
+    this.stats.syncs++;
+  }
+
+  private async startSegment(payloads: Uint8Array[]): Promise<void> {
+    const next = this.segment + 1;
+    const bytes = Buffer.concat(
+      payloads.map(payload => encodeRecord(payload, 0)),
+    );
+    await this.disk.replace(segmentName(next), bytes);
+    await this.file.close();
+    this.file = await this.disk.open(segmentName(next));
+    await this.disk.remove(segmentName(this.segment));
+    this.segment = next;
+    this.syncedBytes = bytes.length;
+  }
+}
+
+async function listSegments(disk: Disk): Promise<number[]> {
+  const names = await disk.list();
+  return names
+    .map(name => SEGMENT_PATTERN.exec(name)?.[1])
+    .filter(digits => digits !== undefined)
+    .map(Number)
+    .sort((a, b) => a - b);
+}
+
+function segmentName(segment: number): string {
+  return `segment-${String(segment).padStart(SEGMENT_DIGITS, '0')}.wal`;
+}
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,30 @@
+// Installs the dependencies if they are missing and compiles every package.
+import process from 'node:process';
+import {spawnSync} from 'node:child_process';
+import {existsSync, statSync} from 'node:fs';
+import {dirname, join} from 'node:path';
+import {fileURLToPath} from 'node:url';
+
+const root = join(dirname(fileURLToPath(import.meta.url)), '..');
+
+/** Runs a command in the root folder; stops this process when it fails. */
+export function run(command, args) {
+  const {status} = spawnSync(command, args, {
+    cwd: root,
+    stdio: ['ignore', 'inherit', 'inherit'],
+  });
+  if (status !== 0) process.exit(status ?? 1);
+}
+
+/** Installs and compiles whatever is not up to date. */
+export function build() {
+  const lock = join(root, 'package-lock.json');
+  const installed = join(root, 'node_modules', '.package-lock.json');
+  const current =
+    existsSync(installed) &&
+    statSync(installed).mtimeMs >= statSync(lock).mtimeMs;
+  if (!current) run('npm', ['ci', '--no-audit', '--no-fund']);
+  run(process.execPath, ['node_modules/typescript/bin/tsc', '-b']);
+}
+
+if (process.argv[1] === fileURLToPath(import.meta.url)) build();
