--- /dev/null
+++ b/packages/consensus/__tests__/test_group.ts
@@ -0,0 +1,179 @@
+import assert from 'node:assert/strict';
+import {monotonicMs, sleep} from '@vanillamux/shared';
+import {MemoryDisk} from '@vanillamux/storage';
+import {
+  MemberRole,
+  RaftNode,
+  RaftRole,
+  RaftStorage,
+  StateMachine,
+  type Member,
+  type RaftTiming,
+} from '../src/index.js';
+import {FakeNetwork} from './fake_network.js';
+
+const POLL_MS = 5;
+const WAIT_LIMIT_MS = 10_000;
+
+/** Short durations, so that tests of many elections are quick. */
+export const TEST_TIMING: RaftTiming = {
+  heartbeatMs: 15,
+  electionMinMs: 75,
+  electionMaxMs: 150,
+  callTimeoutMs: 40,
+};
+
+/** A state machine that lists the commands it applied. */
+export class ListMachine extends StateMachine {
+  commands: string[] = [];
+
+  apply(command: string): number {
+    this.commands.push(command);
+    return this.commands.length;
+  }
+
+  snapshot(): string {
+    return JSON.stringify(this.commands);
+  }
+
+  restore(snapshot: string): void {
+    this.commands = snapshot === '' ? [] : (JSON.parse(snapshot) as string[]);
+  }
+}
+
+/** One member of a test group. */
+export interface TestMember {
+  readonly member: Member;
+  disk: MemoryDisk;
+  machine: ListMachine;
+  node?: RaftNode;
+}
+
+/** Creates the description of a member. */
+export function describeMember(id: string): Member {
+  return {
+    id,
+    hostId: id.split('/')[0]!,
+    failureDomain: 'fd',
+    address: {host: '127.0.0.1', port: 1},
+    role: MemberRole.Voter,
+  };
+}
+
+/** A group of members in this process over a fake network. */
+export class TestGroup {
+  readonly network: FakeNetwork;
+  readonly members = new Map<string, TestMember>();
+  /** Leaders seen in each term. */
+  readonly leaders = new Map<number, Set<string>>();
+
+  constructor(
+    private readonly random: () => number,
+    private readonly options: {
+      snapshotEntries?: number;
+      trailingEntries?: number;
+    } = {},
+  ) {
+    this.network = new FakeNetwork(random);
+  }
+
+  /** Forms a group of new members and starts them. */
+  async form(ids: readonly string[]): Promise<void> {
+    const members = ids.map(describeMember);
+    for (const member of members) {
+      await this.start(member, new MemoryDisk(), members);
+    }
+  }
+
+  /** Starts a member on a disk; `first` is the list of a new group. */
+  async start(
+    member: Member,
+    disk: MemoryDisk,
+    first?: readonly Member[],
+  ): Promise<TestMember> {
+    const recovered = await RaftStorage.open(disk);
+    assert.ok(recovered.ok, recovered.ok ? '' : recovered.error.message);
+    const {storage, log} = recovered.value;
+    if (first) {
+      const base = {index: 0, term: 0, members: first, state: ''};
+      await storage.saveSnapshot(base);
+      log.compact(base);
+    }
+    const machine = new ListMachine();
+    const node = new RaftNode({
+      selfId: member.id,
+      recovered: recovered.value,
+      transport: this.network.transport(member.id),
+      machine,
+      timing: TEST_TIMING,
+      ...this.options,
+    });
+    void node.roles().observe(role => {
+      if (role === RaftRole.Leader) this.noteLeader(node, member.id);
+    });
+    const running: TestMember = {member, disk, machine, node};
+    this.members.set(member.id, running);
+    this.network.attach(member.id, node);
+    node.start();
+    return running;
+  }
+
+  /** Kills a member; its disk loses what was not synced. */
+  async crash(id: string): Promise<void> {
+    const running = this.members.get(id)!;
+    const {node} = running;
+    if (!node) return;
+    running.disk.operationsLeft = 0;
+    running.node = undefined;
+    this.network.detach(id);
+    const disk = running.disk.crash(() => Math.floor(this.random() * 200));
+    await node.stop().catch(() => undefined);
+    running.disk = disk;
+  }
+
+  /** Starts a crashed member again on what its disk kept. */
+  async restart(id: string): Promise<void> {
+    const {member, disk, node} = this.members.get(id)!;
+    if (!node) await this.start(member, disk);
+  }
+
+  /** The running member that leads the latest term, if there is one. */
+  leader(): TestMember | undefined {
+    return [...this.members.values()]
+      .filter(({node}) => node?.status().role === RaftRole.Leader)
+      .sort((a, b) => b.node!.status().term - a.node!.status().term)[0];
+  }
+
+  /** Proposes on whichever member leads until it is committed. */
+  async commit(command: string): Promise<void> {
+    await this.until(`"${command}" is committed`, async () => {
+      const result = await this.leader()?.node?.propose(command);
+      return result?.ok === true;
+    });
+  }
+
+  /** Waits until a condition holds. */
+  async until(
+    what: string,
+    check: () => boolean | Promise<boolean>,
+  ): Promise<void> {
+    const endMs = monotonicMs() + WAIT_LIMIT_MS;
+    while (!(await check())) {
+      assert.ok(monotonicMs() < endMs, `${what} did not happen in time`);
+      await sleep(POLL_MS);
+    }
+  }
+
+  async stop(): Promise<void> {
+    for (const {node} of this.members.values()) {
+      await node?.stop().catch(() => undefined);
+    }
+  }
+
+  private noteLeader(node: RaftNode, id: string): void {
+    const {term, role} = node.status();
+    if (role !== RaftRole.Leader) return;
+    const known = this.leaders.get(term) ?? new Set<string>();
+    this.leaders.set(term, known.add(id));
+  }
+}
--- a/packages/storage/__tests__/wal.test.ts
+++ b/packages/storage/__tests__/wal.test.ts
@@ -1,15 +1,14 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {Wal} from '../src/index.js';
-import {FakeDisk} from './fake_disk.js';
+import {MemoryDisk, Wal} from '../src/index.js';
 
 const SEGMENT = 'segment-0000000001.wal';
 const RUNS = Number(process.env['VMUX_PROPERTY_RUNS'] ?? 200);
 const SEED = 20_261_203;
 const property = {numRuns: RUNS, seed: SEED};
 
-async function openWal(disk: FakeDisk): Promise<{wal: Wal; texts: string[]}> {
+async function openWal(disk: MemoryDisk): Promise<{wal: Wal; texts: string[]}> {
   const opened = await Wal.open(disk);
   assert.ok(opened.ok, opened.ok ? '' : opened.error.message);
   const {wal, payloads} = opened.value;
@@ -47,7 +46,7 @@
         fc.nat(60),
         fc.nat(500),
         async (plan, operations, torn) => {
-          const disk = new FakeDisk();
+          const disk = new MemoryDisk();
           const {wal} = await openWal(disk);
           disk.operationsLeft = operations;
           const {written, synced} = await write(wal, plan);
@@ -66,7 +65,7 @@
         fc.array(fc.string({minLength: 1}), {minLength: 3, maxLength: 10}),
         fc.nat(),
         async (texts, bit) => {
-          const disk = new FakeDisk();
+          const disk = new MemoryDisk();
           const {wal} = await openWal(disk);
           await write(
             wal,
@@ -90,7 +89,7 @@
 
   it('keeps what follows a rotation, at any power failure during it', async () => {
     for (let operations = 0; operations < 8; operations++) {
-      const disk = new FakeDisk();
+      const disk = new MemoryDisk();
       const {wal} = await openWal(disk);
       await write(wal, [
         ['old', true],
@@ -108,7 +107,7 @@
   });
 
   it('makes many waiting records durable with few syncs', async () => {
-    const {wal} = await openWal(new FakeDisk());
+    const {wal} = await openWal(new MemoryDisk());
     const waits: Array<Promise<void>> = [];
     for (let index = 0; index < 64; index++) {
       wal.append(Buffer.from(`record ${index}`));
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -6,6 +6,7 @@
 export {CheckedFile} from './checked_file.js';
 export {Disk} from './disk.js';
 export {LogFile} from './log_file.js';
+export {MemoryDisk} from './memory_disk.js';
 export {NodeDisk, type NodeDiskOptions} from './node_disk.js';
 export {scanRecords, type ScannedLog} from './scan_records.js';
 export {Wal, type OpenedWal, type WalStats} from './wal.js';
--- a/packages/storage/__tests__/fake_disk.ts
+++ b/packages/storage/src/memory_disk.ts
@@ -1,16 +1,20 @@
-import {Disk, LogFile} from '../src/index.js';
+import {Disk} from './disk.js';
+import {LogFile} from './log_file.js';
 
 /** A file with the part of it that has been synced. */
-interface FakeFile {
+interface MemoryFile {
   content: Buffer;
   syncedBytes: number;
 }
 
-/** A folder in memory that forgets or tears what was not synced. */
-export class FakeDisk extends Disk {
+/**
+ * A folder in memory, for tests of failures: it forgets or tears what was not
+ * synced when its power fails.
+ */
+export class MemoryDisk extends Disk {
   /** Operations left before the power fails; writes fail from then on. */
   operationsLeft = Number.POSITIVE_INFINITY;
-  private readonly files = new Map<string, FakeFile>();
+  private readonly files = new Map<string, MemoryFile>();
 
   async list(): Promise<string[]> {
     return [...this.files.keys()];
@@ -28,7 +32,7 @@
       syncedBytes: 0,
     };
     this.files.set(name, file);
-    return new FakeLogFile(file, () => this.spend());
+    return new MemoryLogFile(file, () => this.spend());
   }
 
   async replace(name: string, content: Uint8Array): Promise<void> {
@@ -51,8 +55,8 @@
   }
 
   /** The disk after a power failure; `keep` bytes past the sync survive. */
-  crash(keep: (unsyncedBytes: number) => number): FakeDisk {
-    const survivor = new FakeDisk();
+  crash(keep: (unsyncedBytes: number) => number): MemoryDisk {
+    const survivor = new MemoryDisk();
     for (const [name, {content, syncedBytes}] of this.files) {
       const unsynced = content.length - syncedBytes;
       const length = syncedBytes + Math.min(unsynced, keep(unsynced));
@@ -75,9 +79,9 @@
   }
 }
 
-class FakeLogFile extends LogFile {
+class MemoryLogFile extends LogFile {
   constructor(
-    private readonly file: FakeFile,
+    private readonly file: MemoryFile,
     private readonly spend: () => void,
   ) {
     super();
