fix(consensus): count answers for the member they were addressed to

Cause: members were reached by address only. A host that came back with an empty disk answered calls meant for its former identity, so its votes and acknowledgements counted twice and the old member was never seen as lost. Calls carry the caller's id in the URL; a control host may advertise an address that differs from the one it listens on. Conclusion: found by the process test only; the fake network and the model address members by id and could not show it.

--- a/packages/consensus/src/group_status.ts
+++ b/packages/consensus/src/group_status.ts
@@ -1,3 +1,4 @@
+import type {WalStats} from '@vanillamux/storage';
 import type {Member} from './member.js';
 import type {RaftRole} from './raft_role.js';
 
@@ -21,5 +22,7 @@
   readonly baseIndex: number;
   /** Milliseconds since a leader with a quorum was known. */
   readonly leaderSilentMs: number;
+  /** Records, syncs and bytes written to the log since the start. */
+  readonly log: Readonly<WalStats>;
   readonly members: readonly MemberStatus[];
 }
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -94,6 +94,11 @@
     );
   }
 
+  /** Id of this member. */
+  get selfId(): string {
+    return this.state.selfId;
+  }
+
   /** Starts to take part in elections. */
   start(): void {
     void this.elector.run(this.stopping.signal);
@@ -192,6 +197,7 @@
       lastIndex: state.log.lastIndex,
       baseIndex: state.log.baseIndex,
       leaderSilentMs,
+      log: {...state.storage.stats},
       members: state.members.map(member => ({
         ...member,
         ...(leader && member.id !== state.selfId
--- a/packages/consensus/src/rpc_transport.ts
+++ b/packages/consensus/src/rpc_transport.ts
@@ -19,13 +19,19 @@
 export class RpcTransport extends RaftTransport {
   private readonly clients = new Map<string, RpcClient<MemberRouter>>();
 
+  /** `from` is the id of the calling host. */
+  constructor(private readonly from: string) {
+    super();
+  }
+
   vote(
     to: Member,
     request: VoteRequest,
     timeoutMs: number,
   ): Promise<Result<VoteReply>> {
     return this.clientOf(to).call(
-      (client, signal) => client.raft.vote.mutate(request, {signal}),
+      (client, signal) =>
+        client.raft.vote.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
     );
   }
@@ -36,7 +42,8 @@
     timeoutMs: number,
   ): Promise<Result<AppendReply>> {
     return this.clientOf(to).call(
-      (client, signal) => client.raft.append.mutate(request, {signal}),
+      (client, signal) =>
+        client.raft.append.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
     );
   }
@@ -47,7 +54,8 @@
     timeoutMs: number,
   ): Promise<Result<SnapshotReply>> {
     return this.clientOf(to).call(
-      (client, signal) => client.raft.snapshot.mutate(request, {signal}),
+      (client, signal) =>
+        client.raft.snapshot.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
     );
   }
@@ -61,7 +69,7 @@
     const key = `${address.host}:${address.port}`;
     let client = this.clients.get(key);
     if (!client) {
-      client = new RpcClient<MemberRouter>({address});
+      client = new RpcClient<MemberRouter>({address, from: this.from});
       this.clients.set(key, client);
     }
     return client;
--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -30,7 +30,10 @@
   private preferred: string;
 
   /** The first address is tried first, so list near hosts before far ones. */
-  constructor(private readonly addresses: readonly Address[]) {
+  constructor(
+    private readonly addresses: readonly Address[],
+    private readonly from?: string,
+  ) {
     for (const address of addresses) this.clientOf(formatAddress(address));
     this.preferred = formatAddress(addresses[0]!);
   }
@@ -64,6 +67,21 @@
     return fail(new VmuxError(ErrorCodes.NoQuorum, {message, ran: last.ran}));
   }
 
+  /** Number of control hosts that the client knows from its settings. */
+  get hostCount(): number {
+    return this.addresses.length;
+  }
+
+  /** Calls the host at a place of the list, the nearest being 0. */
+  callAt<T>(
+    place: number,
+    run: ControlCall<T>,
+    timeoutMs = ATTEMPT_TIMEOUT_MS,
+  ): Promise<Result<T>> {
+    const address = this.addresses[place]!;
+    return this.clientOf(formatAddress(address)).call(run, timeoutMs);
+  }
+
   /** Calls one host after the other until one answers. */
   async callAny<T>(
     run: ControlCall<T>,
@@ -103,7 +121,7 @@
     if (!client) {
       const at = key.lastIndexOf(':');
       const address = {host: key.slice(0, at), port: Number(key.slice(at + 1))};
-      client = new RpcClient<ControlRouter>({address});
+      client = new RpcClient<ControlRouter>({address, from: this.from});
       this.clients.set(key, client);
     }
     return client;
--- a/packages/control/src/control_host.ts
+++ b/packages/control/src/control_host.ts
@@ -49,7 +49,7 @@
     this.node = new RaftNode({
       selfId: self.id,
       recovered,
-      transport: new RpcTransport(),
+      transport: new RpcTransport(settings.id),
       machine: this.machine,
       snapshotEntries: settings.snapshotEntries,
     });
@@ -80,7 +80,7 @@
       id: id.value,
       hostId: settings.id,
       failureDomain: settings.failureDomain,
-      address: settings.listen,
+      address: settings.advertise ?? settings.listen,
       role: MemberRole.Voter,
     };
     return succeed(
--- a/packages/control/src/control_settings_schema.ts
+++ b/packages/control/src/control_settings_schema.ts
@@ -17,6 +17,8 @@
     id: z.string().min(1),
     failureDomain: z.string().min(1),
     listen: addressSchema,
+    /** Address that others reach this host by, when it is not `listen`. */
+    advertise: addressSchema.optional(),
     dataFolder: z.string().min(1),
     /** Control hosts that form the group when all their disks are empty. */
     group: z.array(hostSchema).min(1),
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -24,7 +24,8 @@
       .filter(({id}) => id !== host.settings.id)
       .map(({address}) => address);
     this.clients = addresses.map(
-      (address: Address) => new RpcClient<ControlRouter>({address}),
+      (address: Address) =>
+        new RpcClient<ControlRouter>({address, from: host.settings.id}),
     );
   }
 
--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -30,6 +30,8 @@
   readonly address: Address;
   /** Time after which a call without an answer fails. */
   readonly timeoutMs?: number;
+  /** Name of the calling process, which the peer sees in the URL. */
+  readonly from?: string;
 }
 
 /**
@@ -39,12 +41,16 @@
 export class RpcClient<R extends AnyRouter> {
   readonly address: Address;
   private readonly timeoutMs: number;
+  private readonly query: string;
   private socket: ReturnType<typeof createWSClient>;
   private client: TRPCClient<R>;
 
   constructor(options: RpcClientOptions) {
     this.address = options.address;
     this.timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.query = options.from
+      ? `?from=${encodeURIComponent(options.from)}`
+      : '';
     this.socket = this.connect();
     this.client = this.createClient();
   }
@@ -84,7 +90,7 @@
   private connect(): ReturnType<typeof createWSClient> {
     const {host, port} = this.address;
     return createWSClient({
-      url: `ws://${host}:${port}${RPC_PATH}`,
+      url: `ws://${host}:${port}${RPC_PATH}${this.query}`,
       WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
       retryDelayMs: attempt =>
         Math.min(FIRST_RECONNECT_MS * 2 ** attempt, MAX_RECONNECT_MS),
