--- a/packages/engine/src/announcer.ts
+++ b/packages/engine/src/announcer.ts
@@ -124,6 +124,7 @@
       memoryTokens: cost.memoryTokens,
       prefillTokensPerSecond: cost.prefillTokensPerSecond,
       decodeStepMs: cost.decodeStepMs,
+      chunkTokens: cost.chunkTokens,
       state: this.state,
       leaseMs: report.leaseMs,
       load: this.readLaggingLoad(),
--- a/packages/engine/src/engine_model.ts
+++ b/packages/engine/src/engine_model.ts
@@ -158,6 +158,10 @@
     for (const [sequence, tokens] of this.pendingPrefill) {
       sequence.remainingPrefill -= tokens;
       if (sequence.remainingPrefill > 0 || sequence.isFinished) continue;
+      if (sequence.request.segment?.holdOnly) {
+        sequence.hold();
+        continue;
+      }
       sequence.phase = SequencePhase.Decode;
       const {blocks} = sequence.request;
       this.cache.store(blocks, this.cost.memoryTokens - this.heldTokens());
@@ -183,12 +187,21 @@
       const free = this.cost.memoryTokens - this.heldTokens();
       if (sequence.neededTokens > free) return;
       sequence.heldTokens = sequence.neededTokens;
-      sequence.remainingPrefill = request.promptTokens - cachedTokens;
+      sequence.remainingPrefill =
+        request.promptTokens - cachedTokens + this.importWork(request);
       sequence.phase = SequencePhase.Prefill;
       this.cache.shrink(this.cost.memoryTokens - this.heldTokens());
     }
   }
 
+  /** Prefill tokens that take as long as the import of earlier segments. */
+  private importWork({segment}: GenerateRequest): number {
+    if (!segment) return 0;
+    const {prefillTokensPerSecond, kvTransferTokensPerSecond} = this.cost;
+    const ratio = prefillTokensPerSecond / kvTransferTokensPerSecond;
+    return Math.round(segment.importTokens * ratio);
+  }
+
   /** Ends attempts that nobody reads and forgets old finished ones. */
   private sweep(): void {
     for (const [key, sequence] of this.sequences) {
--- a/packages/engine/src/sequence.ts
+++ b/packages/engine/src/sequence.ts
@@ -33,8 +33,9 @@
 
   /** Most memory that the sequence can come to need. */
   get neededTokens(): number {
-    const {promptTokens, maxTokens} = this.request;
-    return promptTokens + maxTokens - this.cachedTokens;
+    const {promptTokens, maxTokens, segment} = this.request;
+    const answerTokens = segment?.holdOnly ? 0 : maxTokens;
+    return promptTokens + answerTokens - this.cachedTokens;
   }
 
   get isFinished(): boolean {
@@ -53,6 +54,13 @@
     return () => this.listeners.delete(listener);
   }
 
+  /** Keeps the KV cache of a segment once it is processed. */
+  hold(): void {
+    this.phase = SequencePhase.Held;
+    const {produced: index, cachedTokens} = this;
+    this.emit({kind: FrameKind.Ready, index, text: '', cachedTokens});
+  }
+
   /** Produces the next token. The same prompt always gives the same text. */
   produceToken(): void {
     const {request, produced} = this;
--- a/packages/entry/src/backend_directory.ts
+++ b/packages/entry/src/backend_directory.ts
@@ -1,11 +1,12 @@
 import {BackendKind, BackendState} from '@vanillamux/protocol';
-import type {BackendRecord, BackendTable} from '@vanillamux/membership';
+import type {
+  BackendRecord,
+  BackendTable,
+  PeerLoads,
+} from '@vanillamux/membership';
 import type {BackendView, InFlightLedger} from '@vanillamux/routing';
-import {monotonicMs} from '@vanillamux/shared';
 import type {BackendHealth} from './backend_health.js';
 
-const MS_PER_SECOND = 1_000;
-
 /** What a request needs of a backend server. */
 export interface BackendNeed {
   readonly model: string;
@@ -19,6 +20,7 @@
   readonly failureDomain: string;
   readonly table: BackendTable;
   readonly ledger: InFlightLedger;
+  readonly peerLoads: PeerLoads;
   readonly health: BackendHealth;
 }
 
@@ -26,9 +28,9 @@
 export class BackendDirectory {
   constructor(private readonly options: BackendDirectoryOptions) {}
 
-  /** Model workers that can take the request; local ones if there are any. */
+  /** Model workers that can take the request. */
   candidates(need: BackendNeed): BackendView[] {
-    const {table, health, failureDomain} = this.options;
+    const {table, health} = this.options;
     const usable = table
       .list()
       .filter(
@@ -43,10 +45,7 @@
       health.isUsable(id),
     );
     const pool = healthy.length > 0 ? healthy : usable;
-    const local = pool.filter(
-      ({announcement}) => announcement.failureDomain === failureDomain,
-    );
-    return (local.length > 0 ? local : pool).map(record => this.view(record));
+    return pool.map(record => this.view(record));
   }
 
   /** Largest memory of any model worker that serves a model, in tokens. */
@@ -70,32 +69,29 @@
       );
   }
 
-  private view({announcement, heardMs}: BackendRecord): BackendView {
-    const {ledger, failureDomain} = this.options;
-    const {id, load, prefillTokensPerSecond} = announcement;
+  private view({announcement}: BackendRecord): BackendView {
+    const {ledger, peerLoads, failureDomain} = this.options;
+    const {id, load, memoryTokens} = announcement;
     const own = ledger.prefillOn(id);
-    const ownTotal = own.reduce((sum, tokens) => sum + tokens, 0);
-    const ageMs = monotonicMs() - heardMs;
-    const processed = (ageMs / MS_PER_SECOND) * prefillTokensPerSecond;
+    const peers = peerLoads.on(id);
+    const held = ledger.heldOn(id) + (peers?.heldTokens ?? 0);
     return {
       id,
       incarnation: announcement.incarnation,
       address: announcement.address,
       failureDomain: announcement.failureDomain,
       isLocal: announcement.failureDomain === failureDomain,
-      memoryTokens: announcement.memoryTokens,
-      prefillTokensPerSecond,
+      memoryTokens,
+      prefillTokensPerSecond: announcement.prefillTokensPerSecond,
       decodeStepMs: announcement.decodeStepMs,
-      othersPrefillTokens: Math.max(
-        0,
-        load.queuedPrefillTokens - processed - ownTotal,
-      ),
-      runningStreams: load.runningStreams,
-      freeTokens: Math.min(
-        load.freeTokens,
-        announcement.memoryTokens - ledger.heldOn(id),
-      ),
-      ownPrefillTokens: own,
+      chunkTokens: announcement.chunkTokens,
+      prefillByPriority: peers
+        ? peers.prefillByPriority.map(
+            (tokens, priority) => tokens + (own[priority] ?? 0),
+          )
+        : own,
+      runningStreams: Math.max(load.runningStreams, ledger.requestsOn(id)),
+      freeTokens: memoryTokens - held,
       ownRequests: ledger.requestsOn(id),
     };
   }
--- a/packages/entry/src/chat_handler.ts
+++ b/packages/entry/src/chat_handler.ts
@@ -15,6 +15,7 @@
 import {chatRequestSchema} from './chat_request_schema.js';
 import type {DeclarationStore} from './declaration_store.js';
 import type {GenerationJob, GenerationReport} from './generation.js';
+import type {GangRunner} from './gang_runner.js';
 import type {GenerationRunner} from './generation_runner.js';
 import {parseJsonBody} from './parse_json_body.js';
 import type {RequestContext} from './request_context.js';
@@ -28,6 +29,7 @@
   readonly declarations: DeclarationStore;
   readonly desk: RequestDesk;
   readonly runner: GenerationRunner;
+  readonly gangs: GangRunner;
   readonly hasher: BlockHasher;
   readonly maxBodyBytes: number;
 }
@@ -93,7 +95,10 @@
       promptTokens,
       candidates: decision.ok ? decision.value.candidates : undefined,
     };
-    if (!decision.ok) {
+    const needsGang =
+      !decision.ok && decision.error.code === ErrorCodes.PromptTooLong;
+    const runsOnGang = needsGang && this.options.gangs.canHold(job);
+    if (!decision.ok && !runsOnGang) {
       desk.refuse(ctx, decision.error, facts);
       return sendError(res, decision.error, ctx.requestId);
     }
@@ -101,7 +106,7 @@
     const permit = await desk.admit(ctx, cost, facts);
     if (!permit.ok) return sendError(res, permit.error, ctx.requestId);
     const report: GenerationReport = {
-      backend: decision.value.backend.id,
+      backend: decision.ok ? decision.value.backend.id : '',
       attempts: 0,
       answerTokens: 0,
       cachedTokens: 0,
@@ -114,7 +119,9 @@
       promptTokens,
       report,
     });
-    const result = await this.runAdmitted(ctx, job, answer, report);
+    const result = runsOnGang
+      ? await this.options.gangs.run(ctx, job, answer, report)
+      : await this.runAdmitted(ctx, job, answer, report);
     permit.value.release();
     const error = result.ok ? undefined : result.error;
     desk.close(ctx, facts, {...report, error});
--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -5,7 +5,12 @@
   EntryMesh,
   type BackendChange,
 } from '@vanillamux/membership';
-import {createPolicy, InFlightLedger, PrefixIndex} from '@vanillamux/routing';
+import {
+  createPolicy,
+  InFlightLedger,
+  PrefixIndex,
+  ReservationBook,
+} from '@vanillamux/routing';
 import {
   EventKind,
   getLogger,
@@ -25,9 +30,11 @@
 import {EntryMetrics} from './entry_metrics.js';
 import type {EntrySettings} from './entry_settings.js';
 import type {EntryStatus} from './entry_status.js';
+import {GangRunner} from './gang_runner.js';
 import {GenerationRunner} from './generation_runner.js';
 import {Recorder} from './recorder.js';
 import {RequestDesk} from './request_desk.js';
+import {ReservationClient} from './reservation_client.js';
 import {ServiceClient} from './service_client.js';
 import {ServiceHandler} from './service_handler.js';
 import {Settler} from './settler.js';
@@ -49,6 +56,9 @@
   readonly metrics = new EntryMetrics();
   readonly table = new BackendTable();
   readonly mesh: EntryMesh;
+  readonly reservationBook = new ReservationBook(
+    id => this.table.get(id)?.announcement.memoryTokens ?? 0,
+  );
   readonly recorder: Recorder;
   readonly desk: RequestDesk;
   readonly declarations: DeclarationStore;
@@ -57,7 +67,9 @@
   private readonly stopping = new AbortController();
   private readonly control: ControlClient;
   private readonly settler: Settler;
+  private readonly reservations: ReservationClient;
   private readonly engineClient = new EngineClient();
+  private readonly canceller: EngineCanceller;
   private readonly serviceClient = new ServiceClient();
   private readonly ledger = new InFlightLedger();
   private readonly prefixes = new PrefixIndex();
@@ -72,13 +84,22 @@
     const clock = new HybridClock();
     const {signal} = this.stopping;
     this.timeline = new Timeline({host: id, failureDomain, clock});
-    this.control = new ControlClient(settings.control);
+    this.control = new ControlClient(settings.control, id);
     this.settler = new Settler(this.control, signal);
     this.mesh = new EntryMesh({
       selfId: id,
+      failureDomain,
       peers: settings.peers,
       table: this.table,
+      readInFlight: () => this.ledger.list(),
     });
+    this.reservations = new ReservationClient({
+      selfId: id,
+      failureDomain,
+      mesh: this.mesh,
+      book: this.reservationBook,
+    });
+    this.canceller = new EngineCanceller(this.engineClient, signal);
     this.recorder = new Recorder({
       entryId: id,
       failureDomain,
@@ -96,12 +117,21 @@
       failureDomain,
       table: this.table,
       ledger: this.ledger,
+      peerLoads: this.mesh.peerLoads,
       health: this.health,
     });
     this.chat = new ChatHandler({
       declarations: this.declarations,
       desk: this.desk,
       runner: this.createRunner(directory),
+      gangs: new GangRunner({
+        directory,
+        ledger: this.ledger,
+        reservations: this.reservations,
+        client: this.engineClient,
+        canceller: this.canceller,
+        timeline: this.timeline,
+      }),
       hasher,
       maxBodyBytes,
     });
@@ -131,7 +161,7 @@
       .observe(index => this.desk.admission.retain(index.workspaceNames));
     this.mesh.run(signal);
     void this.declarations.run(signal);
-    void this.recorder.run(signal);
+    this.recorder.run(signal);
   }
 
   /** Whether callers may be sent here. */
@@ -181,6 +211,7 @@
     await this.recorder.close(FLUSH_LIMIT_MS);
     this.stopping.abort();
     this.control.close();
+    this.reservations.close();
     await this.engineClient.close();
     await this.serviceClient.close();
   }
@@ -193,7 +224,8 @@
       prefixes: this.prefixes,
       health: this.health,
       client: this.engineClient,
-      canceller: new EngineCanceller(this.engineClient, this.stopping.signal),
+      canceller: this.canceller,
+      reservations: this.reservations,
       timeline: this.timeline,
     });
   }
--- a/packages/entry/src/entry_router.ts
+++ b/packages/entry/src/entry_router.ts
@@ -2,6 +2,7 @@
 import {rpcBuilder} from '@vanillamux/rpc';
 import {monotonicMs} from '@vanillamux/shared';
 import type {EntryHost} from './entry_host.js';
+import {createReservationRouter} from './reservation_router.js';
 
 /** Creates the router for peers and operators. */
 // eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types -- tRPC infers the type that clients share
@@ -9,6 +10,7 @@
   const {procedure, router} = rpcBuilder;
   return router({
     mesh: createMeshRouter(host.mesh),
+    reservations: createReservationRouter(host.reservationBook),
     status: procedure.query(() => host.status()),
     backends: procedure.query(() =>
       host.table.list().map(({announcement, heardMs}) => ({
@@ -18,7 +20,7 @@
       })),
     ),
     /** Entries of the record that no control host has confirmed yet. */
-    undelivered: procedure.query(() => [...host.recorder.undelivered]),
+    undelivered: procedure.query(() => host.recorder.undelivered),
     events: procedure.query(() => host.timeline.events()),
   });
 }
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -11,6 +11,7 @@
   fail,
   monotonicMs,
   RunState,
+  sleep,
   succeed,
   VmuxError,
   type Result,
@@ -21,14 +22,19 @@
 import {EngineAttempt} from './engine_attempt.js';
 import type {EngineCanceller} from './engine_canceller.js';
 import type {EngineClient} from './engine_client.js';
+import {explainAbort} from './explain_abort.js';
 import {FrameAssembler} from './frame_assembler.js';
 import type {GenerationJob, GenerationReport, TokenSink} from './generation.js';
 import type {RequestContext} from './request_context.js';
+import type {HeldMemory, ReservationClient} from './reservation_client.js';
 
 const MAX_ATTEMPTS = 3;
 const BLOCK_TOKENS = 512;
 const MIN_LEASE_MS = 2_000;
 const NO_BACKEND_RETRY_AFTER_MS = 1_000;
+/** A prompt that takes so many engine steps has its memory reserved. */
+const RESERVED_STEPS = 8;
+const ROOM_RETRY_MS = 50;
 
 /** What a `GenerationRunner` works with. */
 export interface GenerationRunnerOptions {
@@ -39,6 +45,7 @@
   readonly health: BackendHealth;
   readonly client: EngineClient;
   readonly canceller: EngineCanceller;
+  readonly reservations: ReservationClient;
   readonly timeline: Timeline;
 }
 
@@ -86,6 +93,7 @@
     const assembler = new FrameAssembler(ctx.requestId);
     const excluded = new Set<string>();
     let decision = first;
+    let faults = 0;
     for (;;) {
       report.attempts++;
       report.backend = decision.backend.id;
@@ -103,7 +111,11 @@
       const {message} = result.error;
       const detail = `${decision.backend.id}: ${message}`;
       this.options.timeline.add(EventKind.AttemptFailed, detail, ctx.requestId);
-      if (report.attempts >= MAX_ATTEMPTS) return result;
+      const isFull = result.error.code === ErrorCodes.QueueFull;
+      if (isFull) {
+        const waited = await this.waitForRoom(ctx, excluded);
+        if (!waited) return fail(explainAbort(ctx));
+      } else if (++faults >= MAX_ATTEMPTS) return result;
       const next = this.decide(ctx, job, excluded);
       if (!next.ok) return result;
       decision = next.value;
@@ -111,6 +123,16 @@
     }
   }
 
+  /** Waits before every engine is asked again. Returns false when too late. */
+  private async waitForRoom(
+    ctx: RequestContext,
+    excluded: Set<string>,
+  ): Promise<boolean> {
+    await sleep(ROOM_RETRY_MS * (1 + Math.random()), ctx.signal);
+    excluded.clear();
+    return !ctx.signal.aborted;
+  }
+
   private async attempt(
     ctx: RequestContext,
     job: GenerationJob,
@@ -124,6 +146,8 @@
     const {requestId, workClass} = ctx;
     const attempt = report.attempts;
     timeline.add(EventKind.Routed, backend.id, requestId);
+    const memory = await this.reserveIfLong(ctx, job, decision, attempt);
+    if (!memory.ok) return memory;
     const flight = ledger.add({
       backendId: backend.id,
       priority: workClass.priority,
@@ -160,18 +184,45 @@
       signal: ctx.signal,
     }).run();
     flight.end();
+    memory.value?.release();
     if (result.ok) {
       health.succeeded(backend.id);
       this.options.prefixes.store(backend.id, job.blocks);
       return result;
     }
-    if (!ctx.signal.aborted) health.failed(backend.id);
+    // A refusal such as a full queue says nothing against the engine's health.
+    const isFault = result.error.ran !== RunState.NotRun;
+    if (isFault && !ctx.signal.aborted) health.failed(backend.id);
     if (result.error.ran !== RunState.NotRun || ctx.signal.aborted) {
       canceller.cancel({address: backend.address, requestId, attempt});
     }
     return result;
   }
 
+  /**
+   * Reserves the memory of a long prompt, so that entry hosts that decide at
+   * the same time do not oversubscribe one engine. When the owner cannot be
+   * reached, the engine's own queue has to do.
+   */
+  private async reserveIfLong(
+    ctx: RequestContext,
+    job: GenerationJob,
+    {backend}: RoutingDecision,
+    attempt: number,
+  ): Promise<Result<HeldMemory | undefined>> {
+    const isLong = job.promptTokens > RESERVED_STEPS * backend.chunkTokens;
+    if (!isLong) return succeed(undefined);
+    const reserved = await this.options.reservations.reserve({
+      backendId: backend.id,
+      failureDomain: backend.failureDomain,
+      holder: `${ctx.requestId}#${attempt}`,
+      tokens: job.promptTokens + job.maxTokens,
+    });
+    if (reserved.ok) return reserved;
+    if (reserved.error.code === ErrorCodes.QueueFull) return reserved;
+    return succeed(undefined);
+  }
+
   private explainNone(job: GenerationJob, tokens: number): VmuxError {
     const largest = this.options.directory.largestMemory(job.model);
     if (largest === 0 || largest >= tokens) {
@@ -184,11 +235,3 @@
     return new VmuxError(ErrorCodes.PromptTooLong, {message});
   }
 }
-
-function explainAbort(ctx: RequestContext): VmuxError {
-  const late = monotonicMs() >= ctx.deadlineMs;
-  return new VmuxError(
-    late ? ErrorCodes.DeadlineExceeded : ErrorCodes.Cancelled,
-    {ran: RunState.Failed},
-  );
-}
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,3 +4,4 @@
 export {type EntrySettings} from './entry_settings.js';
 export {entrySettingsSchema} from './entry_settings_schema.js';
 export {type EntryStatus} from './entry_status.js';
+export {DeclarationIndex} from './declaration_index.js';
--- /dev/null
+++ b/packages/fleet/__tests__/control_failures.test.ts
@@ -0,0 +1,254 @@
+import assert from 'node:assert/strict';
+import {randomUUID} from 'node:crypto';
+import {mkdtempSync, rmSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {loadDeclarations, type OperatorSession} from '@vanillamux/cli';
+import type {EntryStatus} from '@vanillamux/entry';
+import {sleep} from '@vanillamux/shared';
+import {Caller, Fleet, waitUntilServing, type FleetHost} from '../src/index.js';
+
+const DECLARATIONS = 'examples/quickstart';
+const RECOVERY_LIMIT_MS = 20_000;
+const FROZEN_MS = 3_000;
+
+describe('the control group under failure', () => {
+  let fleet: Fleet;
+  let session: OperatorSession;
+  let caller: Caller;
+  let submitted = 0;
+
+  before(async () => {
+    fleet = await Fleet.create({
+      folder: mkdtempSync(join(tmpdir(), 'vmux-control-')),
+      failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+      engines: 3,
+      services: {claims: 1},
+      relayControl: true,
+      entrySettings: {drainNoticeMs: 0},
+    });
+    fleet.start();
+    session = fleet.openSession();
+    const serving = await waitUntilServing(fleet, session, DECLARATIONS);
+    assert.ok(serving.ok, serving.ok ? '' : serving.error.message);
+    caller = new Caller(fleet.entries[0]!.address);
+  });
+
+  after(async () => {
+    await caller.close();
+    session.close();
+    await fleet.stop();
+  });
+
+  async function findLeader(): Promise<FleetHost> {
+    const status = await session.control.callLeader(async (api, signal) => {
+      await api.declarations.current.query(undefined, {signal});
+      return api.group.status.query(undefined, {signal});
+    });
+    assert.ok(status.ok, status.ok ? '' : status.error.message);
+    const id = status.value.selfId.split('/')[0];
+    return fleet.control.find(host => host.id === id)!;
+  }
+
+  /** Submits a claim under a fresh key, which must run exactly once. */
+  async function submitClaim(): Promise<void> {
+    const outcome = await caller.call(
+      '/services/claims/claims',
+      'POST',
+      {
+        authorization: 'Bearer tartu-demo-key',
+        'idempotency-key': `claim-${submitted}`,
+      },
+      JSON.stringify({number: submitted}),
+    );
+    assert.equal(outcome.status, 200, outcome.text);
+    submitted++;
+  }
+
+  async function waitForClaims(): Promise<void> {
+    const done = await fleet.waitFor('a claim', RECOVERY_LIMIT_MS, async () => {
+      try {
+        await submitClaim();
+        return true;
+      } catch {
+        return false;
+      }
+    });
+    assert.ok(done.ok);
+  }
+
+  async function countExecutions(): Promise<Map<number, number>> {
+    const service = new Caller(fleet.services[0]!.address);
+    const list = await service.call('/executions', 'GET');
+    await service.close();
+    const counts = new Map<number, number>();
+    for (const {body} of JSON.parse(list.text) as Array<{
+      body: {number: number};
+    }>) {
+      counts.set(body.number, (counts.get(body.number) ?? 0) + 1);
+    }
+    return counts;
+  }
+
+  it('takes claims again after its leader is killed', async () => {
+    await submitClaim();
+    const leader = await findLeader();
+    await leader.process.stop('SIGKILL');
+    await waitForClaims();
+    leader.process.start();
+  });
+
+  it('goes on when a host freezes for long and comes back', async () => {
+    const leader = await findLeader();
+    leader.process.signal('SIGSTOP');
+    await waitForClaims();
+    await sleep(FROZEN_MS);
+    leader.process.signal('SIGCONT');
+    await waitForClaims();
+  });
+
+  it('elects another leader while the old one is silently cut off', async () => {
+    const old = await findLeader();
+    old.relay!.cut();
+    for (const {relay} of fleet.control) relay!.cut(old.id);
+    await waitForClaims();
+    const next = await findLeader();
+    assert.notEqual(next.id, old.id);
+    for (const {relay} of fleet.control) relay!.heal();
+    await waitForClaims();
+  });
+
+  it('replaces open connections that went silent for good', async () => {
+    for (const {relay} of fleet.control) relay!.silenceOpenFlows();
+    await waitForClaims();
+  });
+
+  it('takes a host back that lost its disk, under a new identity', async () => {
+    const lost = fleet.control.find(host => host.id === 'control-2')!;
+    const before = await session.control.callLeader((api, signal) =>
+      api.group.status.query(undefined, {signal}),
+    );
+    assert.ok(before.ok);
+    const old = before.value.members.find(({hostId}) => hostId === lost.id)!;
+    await lost.process.stop('SIGKILL');
+    rmSync(join(fleet.plan.folder, 'data', lost.id), {recursive: true});
+    lost.process.start();
+    const replaced = await fleet.waitFor(
+      'that the host is a voter again',
+      RECOVERY_LIMIT_MS,
+      async () => {
+        const status = await session.control.callLeader(async (api, signal) => {
+          await api.declarations.current.query(undefined, {signal});
+          return api.group.status.query(undefined, {signal});
+        });
+        if (!status.ok) return false;
+        const {members} = status.value;
+        return (
+          members.length === 3 &&
+          members.every(({id, role}) => role === 'voter' && id !== old.id)
+        );
+      },
+    );
+    assert.ok(replaced.ok, replaced.ok ? '' : replaced.error.message);
+    // A second host lost right after the repair must not cost the quorum.
+    const other = fleet.control.find(host => host.id === 'control-3')!;
+    await other.process.stop('SIGKILL');
+    await waitForClaims();
+    other.process.start();
+    await waitForClaims();
+  });
+
+  it('lets one of two equal-numbered changes win and repeats its answer', async () => {
+    const loaded = await loadDeclarations(DECLARATIONS);
+    assert.ok(loaded.ok);
+    const current = await session.control.callLeader((api, signal) =>
+      api.declarations.current.query(undefined, {signal}),
+    );
+    assert.ok(current.ok);
+    const declare = (commandId: string) =>
+      session.control.callLeader((api, signal) =>
+        api.declarations.declare.mutate(
+          {
+            commandId,
+            expectedVersion: current.value.version,
+            document: loaded.value,
+            operator: commandId,
+          },
+          {signal},
+        ),
+      );
+    const ids = [randomUUID(), randomUUID()];
+    const answers = await Promise.all(ids.map(declare));
+    const accepted = answers.map(answer => answer.ok && answer.value.accepted);
+    assert.deepEqual(accepted.slice().sort(), [false, true]);
+    const leader = await findLeader();
+    await leader.process.stop('SIGKILL');
+    const again = await Promise.all(ids.map(declare));
+    leader.process.start();
+    assert.deepEqual(
+      again.map(answer => answer.ok && answer.value),
+      answers.map(answer => answer.ok && answer.value),
+    );
+    const version = current.value.version + 1;
+    const inForce = await fleet.waitFor(
+      'that the version is in force',
+      RECOVERY_LIMIT_MS,
+      async () => {
+        const statuses = await session.callEntries<EntryStatus>((api, signal) =>
+          api.status.query(undefined, {signal}),
+        );
+        return statuses.every(
+          ({result}) => result.ok && result.value.version === version,
+        );
+      },
+    );
+    assert.ok(inForce.ok);
+  });
+
+  it('refuses claims as not run without a quorum, and serves the rest', async () => {
+    const [first, second, third] = fleet.control;
+    await second!.process.stop('SIGKILL');
+    await third!.process.stop('SIGKILL');
+    assert.ok(first!.process.isRunning);
+    const claim = await caller.call(
+      '/services/claims/claims',
+      'POST',
+      {
+        authorization: 'Bearer tartu-demo-key',
+        'idempotency-key': 'without-quorum',
+      },
+      JSON.stringify({number: -1}),
+    );
+    assert.equal(claim.errorCode, 'no_quorum');
+    const {error} = JSON.parse(claim.text) as {error: {ran: string}};
+    assert.equal(error.ran, 'not_run');
+    const chat = await caller.chat({
+      apiKey: 'tartu-demo-key',
+      model: 'parcel-7b',
+      prompt: 'x'.repeat(400),
+      maxTokens: 4,
+    });
+    assert.equal(chat.status, 200);
+    second!.process.start();
+    third!.process.start();
+    await waitForClaims();
+  });
+
+  it('has run every answered claim once and no refused one', async () => {
+    const counts = await countExecutions();
+    for (let number = 0; number < submitted; number++) {
+      assert.equal(counts.get(number), 1, `claim ${number}`);
+    }
+    assert.equal(counts.get(-1), undefined);
+    const complete = await fleet.waitFor(
+      'the record',
+      RECOVERY_LIMIT_MS,
+      async () => {
+        const {faults, missing} = await session.verifyRecord();
+        return faults.length === 0 && missing.length === 0;
+      },
+    );
+    assert.ok(complete.ok);
+  });
+});
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -16,6 +16,7 @@
 import type {FleetPlan} from './fleet_plan.js';
 import {ManagedProcess} from './managed_process.js';
 import {pickPorts} from './pick_ports.js';
+import {TcpRelay} from './tcp_relay.js';
 
 const LOOPBACK = '127.0.0.1';
 const POLL_MS = 50;
@@ -31,6 +32,8 @@
   /** Internal address of an entry host. */
   readonly internal: Address;
   readonly process: ManagedProcess;
+  /** Relay that others reach the process through, if there is one. */
+  readonly relay?: TcpRelay;
 }
 
 /** A whole system as separate processes on loopback. */
@@ -72,9 +75,10 @@
       Array.from({length: count}, (_, index) =>
         host(kind, index, `${kind}-${index + 1}`),
       );
+    const control = hosts('control', controlCount);
     const fleet = new Fleet(
       plan,
-      hosts('control', controlCount),
+      plan.relayControl ? await addRelays(control) : control,
       hosts('entry', entryCount),
       hosts('engine', engineCount),
       serviceNames.map((name, index) =>
@@ -111,7 +115,7 @@
   openSession(operator = 'fleet'): OperatorSession {
     return new OperatorSession({
       operator,
-      control: this.control.map(({address}) => address),
+      control: this.control.map(reachableAddress),
       entries: this.entries.map(({internal}) => internal),
     });
   }
@@ -148,19 +152,21 @@
     for (const group of groups) {
       await Promise.all(group.map(({process}) => process.stop(signal)));
     }
+    for (const {relay} of this.control) relay?.close();
   }
 
   private writeSettings(serviceNames: readonly string[]): void {
-    const group = this.control.map(({id, failureDomain, address}) => ({
-      id,
-      failureDomain,
-      address,
+    const group = this.control.map(host => ({
+      id: host.id,
+      failureDomain: host.failureDomain,
+      address: reachableAddress(host),
     }));
     for (const host of this.control) {
       this.write(host.id, {
         id: host.id,
         failureDomain: host.failureDomain,
         listen: host.address,
+        ...(host.relay ? {advertise: host.relay.address} : {}),
         dataFolder: join(this.plan.folder, 'data', host.id),
         group,
         ...this.plan.controlSettings,
@@ -172,7 +178,7 @@
         failureDomain: host.failureDomain,
         listen: host.address,
         internal: host.internal,
-        control: this.near(host, this.control).map(({address}) => address),
+        control: this.near(host, this.control).map(reachableAddress),
         peers: this.entries
           .filter(({id}) => id !== host.id)
           .map(({internal}) => internal),
@@ -197,7 +203,7 @@
     );
     this.write('vmux', {
       operator: process.env['USER'] ?? 'operator',
-      control: this.control.map(({address}) => address),
+      control: this.control.map(reachableAddress),
       entries: this.entries.map(({internal}) => internal),
     });
   }
@@ -224,6 +230,19 @@
   }
 }
 
+async function addRelays(hosts: readonly FleetHost[]): Promise<FleetHost[]> {
+  return Promise.all(
+    hosts.map(async host => ({
+      ...host,
+      relay: await TcpRelay.start(host.address),
+    })),
+  );
+}
+
+function reachableAddress({relay, address}: FleetHost): Address {
+  return relay?.address ?? address;
+}
+
 async function choosePorts(plan: FleetPlan, count: number): Promise<number[]> {
   const {basePort} = plan;
   if (basePort === undefined) return pickPorts(count);
--- a/packages/fleet/src/fleet_plan.ts
+++ b/packages/fleet/src/fleet_plan.ts
@@ -14,6 +14,8 @@
   readonly report?: Readonly<Record<string, number>>;
   /** Stand-in processes per plain service. */
   readonly services?: Readonly<Record<string, number>>;
+  /** Puts a relay before each control host, to cut connections. */
+  readonly relayControl?: boolean;
   /** First port; free ports are picked when absent. */
   readonly basePort?: number;
   /** More settings for every entry host. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -4,3 +4,4 @@
 export {ManagedProcess} from './managed_process.js';
 export {pickPorts} from './pick_ports.js';
 export {waitUntilServing} from './wait_until_serving.js';
+export {TcpRelay} from './tcp_relay.js';
--- /dev/null
+++ b/packages/load/src/measure_state.ts
@@ -0,0 +1,277 @@
+import {createHash} from 'node:crypto';
+import {DeclarationIndex} from '@vanillamux/entry';
+import {BackendTable, DeltaOutbox, PeerLoads} from '@vanillamux/membership';
+import {
+  BackendKind,
+  BackendState,
+  EMPTY_CHAIN_HASH,
+  hashRecordEntry,
+  RecordKind,
+  type Announcement,
+  type Declarations,
+} from '@vanillamux/protocol';
+import {
+  EstimatedFirstTokenPolicy,
+  PrefixIndex,
+  type BackendView,
+} from '@vanillamux/routing';
+import {EventKind, monotonicMs, Timeline} from '@vanillamux/shared';
+import {fitSlope} from './fit_slope.js';
+import {percentile} from './percentile.js';
+import {printFigures, type Figure} from './print_figures.js';
+
+const US_PER_MS = 1_000;
+const ROUNDS = 2_000;
+const MODEL = 'parcel-7b';
+
+/** Measures memory and processor time of state against its size. */
+export function measureState(): void {
+  printFigures('Routing decision, p50', measureDecisions());
+  printFigures('Declarations in an entry host', measureDeclarations());
+  printFigures('Membership in an entry host', measureMembership());
+  printFigures('Record and time line', measureRecords());
+}
+
+function measureDecisions(): Figure[] {
+  const policy = new EstimatedFirstTokenPolicy();
+  return [20, 79, 300, 1_500].map(size => {
+    const local = Math.min(size, 79);
+    const views = Array.from({length: size}, (_, index) =>
+      createView(index, index < local),
+    );
+    const times: number[] = [];
+    for (let round = 0; round < ROUNDS; round++) {
+      const startMs = monotonicMs();
+      policy.choose(
+        {
+          requestId: 'r',
+          promptTokens: 2_000 + round,
+          maxTokens: 64,
+          priority: 1,
+          cachedTokens: () => 0,
+        },
+        views,
+      );
+      times.push((monotonicMs() - startMs) * US_PER_MS);
+    }
+    const what = `${size} backend servers, ${local} of them local`;
+    return {what, value: percentile(times, 0.5), unit: 'us'};
+  });
+}
+
+function createView(index: number, isLocal: boolean): BackendView {
+  return {
+    id: `engine-${index}`,
+    incarnation: 1,
+    address: {host: '127.0.0.1', port: 1},
+    failureDomain: isLocal ? 'fd-a' : 'fd-b',
+    isLocal,
+    memoryTokens: 450_000,
+    prefillTokensPerSecond: 40_000,
+    decodeStepMs: 8,
+    chunkTokens: 2_048,
+    prefillByPriority: [
+      0,
+      (index * 977) % 9_000,
+      0,
+      0,
+      0,
+      0,
+      index * 10,
+      0,
+      0,
+      0,
+    ],
+    runningStreams: index % 5,
+    freeTokens: 400_000,
+    ownRequests: index % 7,
+  };
+}
+
+function measureDeclarations(): Figure[] {
+  const memory: Array<[number, number]> = [];
+  const build: Array<[number, number]> = [];
+  const wire: Array<[number, number]> = [];
+  for (const workspaces of [1_000, 4_000, 8_400]) {
+    const text = JSON.stringify(createDeclarations(workspaces));
+    wire.push([workspaces, text.length]);
+    const before = usedHeap();
+    const startMs = monotonicMs();
+    const document = JSON.parse(text) as Declarations;
+    const index = new DeclarationIndex({
+      version: 1,
+      document,
+      acceptedAtMs: 0,
+      operator: '',
+    });
+    build.push([workspaces, monotonicMs() - startMs]);
+    memory.push([workspaces, usedHeap() - before]);
+    if (index.findWorkspace('nobody')) throw new Error('unexpected workspace');
+  }
+  return [
+    slope('memory per workspace', memory, 'bytes'),
+    slope('JSON per workspace', wire, 'bytes'),
+    slope('parse and index per workspace', build, 'us', US_PER_MS),
+  ];
+}
+
+function createDeclarations(workspaces: number): Declarations {
+  return {
+    workspaces: Array.from({length: workspaces}, (_, index) => ({
+      name: `workspace-${index}`,
+      keys: [
+        `sha256:${createHash('sha256').update(String(index)).digest('hex')}`,
+      ],
+      weight: 1,
+      concurrency: 64,
+      tokensPerSecond: 10_000,
+    })),
+    classes: [],
+    routing: [],
+    services: [],
+    backends: [],
+  };
+}
+
+function measureMembership(): Figure[] {
+  const memory: Array<[number, number]> = [];
+  const apply: Array<[number, number]> = [];
+  const wholeBytes: Array<[number, number]> = [];
+  const loadBytes: Array<[number, number]> = [];
+  const inFlightBytes: Array<[number, number]> = [];
+  for (const backends of [79, 300, 1_500]) {
+    const before = usedHeap();
+    const table = new BackendTable();
+    const outbox = new DeltaOutbox();
+    const announce = (sequence: number): void => {
+      for (let index = 0; index < backends; index++) {
+        const announcement = createAnnouncement(index, sequence);
+        table.apply(announcement);
+        outbox.add(announcement, monotonicMs());
+      }
+    };
+    announce(1);
+    wholeBytes.push([backends, size(outbox.take('e', false, []))]);
+    const startMs = monotonicMs();
+    announce(2);
+    apply.push([backends, monotonicMs() - startMs]);
+    loadBytes.push([backends, size(outbox.take('e', false, []))]);
+    const work = Array.from({length: backends}, (_, index) => ({
+      backendId: `engine-${index}`,
+      requests: 3,
+      heldTokens: 12_345,
+      prefillByPriority: [0, 4_321, 0, 0, 0, 0, 0, 0, 0, 0],
+    }));
+    const delta = outbox.take('e', false, work);
+    inFlightBytes.push([backends, size(delta)]);
+    new PeerLoads().apply(delta);
+    memory.push([backends, usedHeap() - before]);
+    if (table.list().length !== backends) throw new Error('lost a backend');
+  }
+  const prefixes = new PrefixIndex();
+  const before = usedHeap();
+  const blocks = Array.from({length: 20_000}, (_, index) =>
+    (index * 2_654_435_761).toString(16),
+  );
+  prefixes.store('engine-1', blocks);
+  const perBlock = (usedHeap() - before) / blocks.length;
+  prefixes.forget('engine-1');
+  return [
+    slope('memory per backend server', memory, 'bytes'),
+    slope('apply one announcement', apply, 'us', US_PER_MS),
+    slope('whole announcement on the wire', wholeBytes, 'bytes'),
+    slope('load report on the wire', loadBytes, 'bytes'),
+    slope('in-flight report on the wire', inFlightBytes, 'bytes'),
+    {what: 'memory per known prefix block', value: perBlock, unit: 'bytes'},
+  ];
+}
+
+function createAnnouncement(index: number, sequence: number): Announcement {
+  return {
+    id: `engine-${index}`,
+    incarnation: 1_764_800_000_000,
+    sequence,
+    kind: BackendKind.Model,
+    address: {host: '10.0.0.1', port: 8_000},
+    failureDomain: 'ee-south-a',
+    models: [MODEL],
+    memoryTokens: 450_000,
+    prefillTokensPerSecond: 40_000,
+    decodeStepMs: 8,
+    chunkTokens: 2_048,
+    state: BackendState.Ready,
+    leaseMs: 2_000,
+    load: {
+      queuedPrefillTokens: 1_234 + sequence,
+      runningStreams: 12,
+      freeTokens: 345_678,
+    },
+    cache: {stored: [], evicted: []},
+  };
+}
+
+function measureRecords(): Figure[] {
+  const entry = {
+    chain: 'entry-1/1764800000000',
+    sequence: 12_345,
+    at: '2026-12-03T22:48:07.047Z~00001',
+    previousHash: EMPTY_CHAIN_HASH,
+    kind: RecordKind.Admitted,
+    failureDomain: 'ee-south-a',
+    requestId: 'entry-1-dcd16465-cf6f-4fa3-9fdb-617e8d273dfc',
+    workspace: 'viljandi',
+    class: 'filing-rush',
+    target: MODEL,
+    promptTokens: 2_345,
+    version: 17,
+    rule: 'parcel-7b<=16000',
+    candidates: Array.from({length: 4}, (_, index) => ({
+      backend: `ee-south-a-${index}`,
+      estimateMs: 45,
+      queuedTokens: 1_234,
+      cachedTokens: 512,
+    })),
+  };
+  const rounds = 20_000;
+  const startMs = monotonicMs();
+  for (let round = 0; round < rounds; round++) hashRecordEntry(entry);
+  const hashUs = ((monotonicMs() - startMs) / rounds) * US_PER_MS;
+  const timeline = new Timeline({host: 'e', failureDomain: 'f'});
+  const before = usedHeap();
+  const eventStartMs = monotonicMs();
+  for (let round = 0; round < rounds; round++) {
+    timeline.add(EventKind.Admitted, 'viljandi filing-rush', entry.requestId);
+  }
+  const eventUs = ((monotonicMs() - eventStartMs) / rounds) * US_PER_MS;
+  const ringBytes = usedHeap() - before;
+  return [
+    {what: 'admission in the record', value: size(entry), unit: 'bytes'},
+    {what: 'chain one entry', value: hashUs, unit: 'us'},
+    {what: 'one event on the time line', value: eventUs, unit: 'us'},
+    {
+      what: `memory of a full time line (${timeline.events().length} events)`,
+      value: ringBytes,
+      unit: 'bytes',
+    },
+  ];
+}
+
+function slope(
+  what: string,
+  points: ReadonlyArray<readonly [number, number]>,
+  unit: string,
+  scale = 1,
+): Figure {
+  return {what, value: fitSlope(points).slope * scale, unit};
+}
+
+function size(value: unknown): number {
+  return JSON.stringify(value).length;
+}
+
+function usedHeap(): number {
+  const {gc} = globalThis as {gc?: () => void};
+  if (!gc) throw new Error('run Node with --expose-gc');
+  gc();
+  return process.memoryUsage().heapUsed;
+}
--- /dev/null
+++ b/packages/load/src/run_load.ts
@@ -0,0 +1,78 @@
+import {Caller} from '@vanillamux/fleet';
+import {monotonicMs, sleep, type Address} from '@vanillamux/shared';
+import type {Arrival} from './arrival.js';
+import type {LoadSpec} from './load_spec.js';
+import {planArrivals} from './plan_arrivals.js';
+import type {Sample} from './sample.js';
+
+const CHARACTERS_PER_TOKEN = 4;
+const MS_PER_SECOND = 1_000;
+const FILLER = 'field parcel with hedgerow and stream ';
+
+/**
+ * Sends every planned request at its time to the entry hosts in turn, whatever
+ * became of the ones before. Returns the samples after the warm-up.
+ */
+export async function runLoad(
+  spec: LoadSpec,
+  entries: readonly Address[],
+): Promise<Sample[]> {
+  const callers = entries.map(entry => new Caller(entry));
+  const startMs = monotonicMs();
+  const running: Array<Promise<Sample>> = [];
+  let turn = 0;
+  for (const arrival of planArrivals(spec)) {
+    const waitMs = startMs + arrival.atMs - monotonicMs();
+    if (waitMs > 0) await sleep(waitMs);
+    const caller = callers[turn++ % callers.length]!;
+    running.push(send(caller, arrival, startMs + arrival.atMs));
+  }
+  const samples = await Promise.all(running);
+  await Promise.all(callers.map(caller => caller.close()));
+  const warmUpMs = spec.warmUpSeconds * MS_PER_SECOND;
+  return samples.filter(({arrival}) => arrival.atMs >= warmUpMs);
+}
+
+async function send(
+  caller: Caller,
+  arrival: Arrival,
+  plannedMs: number,
+): Promise<Sample> {
+  const {stream} = arrival;
+  const sentLateMs = monotonicMs() - plannedMs;
+  try {
+    const outcome = await caller.chat({
+      apiKey: stream.apiKey,
+      model: stream.model,
+      prompt: composePrompt(arrival),
+      maxTokens: stream.answerTokens,
+    });
+    const isCut = outcome.tokens < stream.answerTokens;
+    return {
+      arrival,
+      firstTokenMs:
+        outcome.firstTokenMs === undefined
+          ? undefined
+          : outcome.firstTokenMs + sentLateMs,
+      endMs: monotonicMs() - plannedMs,
+      error: outcome.errorCode ?? (isCut ? 'incomplete' : undefined),
+    };
+  } catch (error) {
+    const code = (error as {code?: string}).code ?? 'connection_failed';
+    return {arrival, endMs: monotonicMs() - plannedMs, error: code};
+  }
+}
+
+function composePrompt({stream, promptTokens, number}: Arrival): string {
+  const characters = promptTokens * CHARACTERS_PER_TOKEN;
+  const shared = repeat(
+    `${stream.name} instructions `,
+    stream.sharedPrefixTokens * CHARACTERS_PER_TOKEN,
+  );
+  const own = `request ${stream.name} ${number} `;
+  return (shared + own + repeat(FILLER, characters)).slice(0, characters);
+}
+
+function repeat(text: string, characters: number): string {
+  return text.repeat(Math.ceil(characters / text.length)).slice(0, characters);
+}
--- a/packages/membership/src/delta_outbox.ts
+++ b/packages/membership/src/delta_outbox.ts
@@ -1,5 +1,6 @@
 import type {Announcement} from '@vanillamux/protocol';
 import {monotonicMs} from '@vanillamux/shared';
+import type {BackendInFlight} from './backend_in_flight.js';
 import type {Delta} from './delta.js';
 
 interface Pending {
@@ -13,6 +14,8 @@
 export class DeltaOutbox {
   private readonly pending = new Map<string, Pending>();
   private readonly told = new Map<string, string>();
+  private readonly toldInFlight = new Map<string, string>();
+  private isWhole = true;
 
   /** Notes an announcement that this host heard itself. */
   add(announcement: Announcement, heardMs: number): void {
@@ -32,8 +35,20 @@
   }
 
   /** Takes everything out as one batch. */
-  take(from: string, leaving: boolean): Delta {
-    const delta: Delta = {from, announcements: [], loads: [], leaving};
+  take(
+    from: string,
+    leaving: boolean,
+    inFlight: readonly BackendInFlight[],
+  ): Delta {
+    const delta: Delta = {
+      from,
+      announcements: [],
+      loads: [],
+      inFlight: this.takeInFlight(inFlight),
+      isWhole: this.isWhole,
+      leaving,
+    };
+    this.isWhole = false;
     for (const {announcement, heardMs, whole} of this.pending.values()) {
       const ageMs = Math.round(monotonicMs() - heardMs);
       const {id, incarnation, sequence, load} = announcement;
@@ -55,12 +70,45 @@
     return delta;
   }
 
+  private takeInFlight(
+    inFlight: readonly BackendInFlight[],
+  ): Delta['inFlight'] {
+    const changed: Delta['inFlight'] = [];
+    for (const item of inFlight) {
+      const tuple = encodeInFlight(item);
+      const text = JSON.stringify(tuple);
+      if (this.toldInFlight.get(item.backendId) === text) continue;
+      this.toldInFlight.set(item.backendId, text);
+      changed.push(tuple);
+    }
+    return changed;
+  }
+
+  /** Whether the peer knows less than what is in flight now. */
+  hasNews(inFlight: readonly BackendInFlight[]): boolean {
+    if (!this.isEmpty) return true;
+    return inFlight.some(
+      item =>
+        this.toldInFlight.get(item.backendId) !==
+        JSON.stringify(encodeInFlight(item)),
+    );
+  }
+
   /** Forgets what the peer was told, after it lost a batch or restarted. */
   reset(): void {
     this.told.clear();
+    this.toldInFlight.clear();
+    this.isWhole = true;
   }
 }
 
+function encodeInFlight(item: BackendInFlight): Delta['inFlight'][number] {
+  const pairs = item.prefillByPriority.flatMap((tokens, priority) =>
+    tokens > 0 ? [priority, Math.round(tokens)] : [],
+  );
+  return [item.backendId, item.requests, Math.round(item.heldTokens), ...pairs];
+}
+
 /** Everything but the parts that change with each report. */
 function fingerprint(announcement: Announcement): string {
   const {id, incarnation, state, address, models, cache} = announcement;
--- a/packages/membership/src/delta_schema.ts
+++ b/packages/membership/src/delta_schema.ts
@@ -18,6 +18,12 @@
   count,
 ]);
 
+/**
+ * What the sender has in flight on a backend server: id, requests, held
+ * tokens, then pairs of engine priority and outstanding prefill tokens.
+ */
+const inFlightTupleSchema = z.tuple([z.string(), count, count]).rest(count);
+
 /** A batch of changes that entry hosts send to each other. */
 export const deltaSchema = z.object({
   from: z.string(),
@@ -26,6 +32,9 @@
     .array(z.object({announcement: announcementSchema, ageMs: z.number()}))
     .max(MAX_DELTAS),
   loads: z.array(loadTupleSchema).max(MAX_DELTAS),
+  /** Only what changed since the last batch, unless `isWhole`. */
+  inFlight: z.array(inFlightTupleSchema).max(MAX_DELTAS),
+  isWhole: z.boolean(),
   /** Set when the sender is shutting down. */
   leaving: z.boolean(),
 });
--- a/packages/membership/src/entry_mesh.ts
+++ b/packages/membership/src/entry_mesh.ts
@@ -1,10 +1,12 @@
 import {RpcClient} from '@vanillamux/rpc';
 import {getLogger, monotonicMs, sleep, type Address} from '@vanillamux/shared';
 import type {Announcement} from '@vanillamux/protocol';
+import type {BackendInFlight} from './backend_in_flight.js';
 import type {BackendTable} from './backend_table.js';
 import type {Delta} from './delta.js';
 import {DeltaOutbox} from './delta_outbox.js';
 import type {MeshRouterRoot} from './mesh_router.js';
+import {PeerLoads} from './peer_loads.js';
 
 const BATCH_INTERVAL_MS = 100;
 const IDLE_BATCH_INTERVAL_MS = 1_000;
@@ -14,17 +16,36 @@
 
 const log = getLogger('membership');
 
+/** A peer that answered lately. */
+export interface LivePeer {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly address: Address;
+}
+
+/** Answer to a batch: who the receiver is and what it must be sent whole. */
+export interface DeltaAnswer {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly unknown: string[];
+}
+
 /** Options of an `EntryMesh`. */
 export interface EntryMeshOptions {
   readonly selfId: string;
+  readonly failureDomain: string;
   readonly peers: readonly Address[];
   readonly table: BackendTable;
+  /** What this host has in flight, for the peers' routing. */
+  readonly readInFlight: () => BackendInFlight[];
 }
 
 /** Spreads announcements between the entry hosts. One task per peer. */
 export class EntryMesh {
+  readonly peerLoads = new PeerLoads();
   private readonly outboxes = new Map<Address, DeltaOutbox>();
   private readonly heardFrom = new Map<string, number>();
+  private readonly reached = new Map<string, LivePeer>();
   private leaving = false;
 
   constructor(private readonly options: EntryMeshOptions) {
@@ -54,10 +75,15 @@
   }
 
   /** Takes a batch from a peer. Returns the ids it must send in whole. */
-  receive(delta: Delta): string[] {
-    const {table} = this.options;
-    if (delta.leaving) this.heardFrom.delete(delta.from);
-    else this.heardFrom.set(delta.from, monotonicMs());
+  receive(delta: Delta): DeltaAnswer {
+    const {table, selfId, failureDomain} = this.options;
+    if (delta.leaving) {
+      this.heardFrom.delete(delta.from);
+      this.peerLoads.forget(delta.from);
+    } else {
+      this.heardFrom.set(delta.from, monotonicMs());
+      this.peerLoads.apply(delta);
+    }
     for (const {announcement, ageMs} of delta.announcements) {
       table.apply(announcement, ageMs);
     }
@@ -79,7 +105,12 @@
         ageMs,
       );
     }
-    return unknown;
+    return {id: selfId, failureDomain, unknown};
+  }
+
+  /** Peers that are heard and have answered. */
+  livePeers(): LivePeer[] {
+    return [...this.reached.values()].filter(({id}) => this.heardFrom.has(id));
   }
 
   /** Ids of the entry hosts heard within the lease, this one included. */
@@ -101,14 +132,19 @@
     outbox: DeltaOutbox,
     signal: AbortSignal,
   ): Promise<void> {
-    const client = new RpcClient<MeshRouterRoot>({address: peer});
+    const client = new RpcClient<MeshRouterRoot>({
+      address: peer,
+      from: this.options.selfId,
+    });
     let sentMs = 0;
     while (!signal.aborted) {
       await sleep(BATCH_INTERVAL_MS, signal);
       const idleMs = monotonicMs() - sentMs;
-      if (outbox.isEmpty && idleMs < IDLE_BATCH_INTERVAL_MS) continue;
+      const inFlight = this.options.readInFlight();
+      const isDue = idleMs >= IDLE_BATCH_INTERVAL_MS;
+      if (!isDue && !outbox.hasNews(inFlight)) continue;
       sentMs = monotonicMs();
-      await this.sendBatch(client, outbox);
+      await this.sendBatch(client, outbox, inFlight);
     }
     client.close();
   }
@@ -116,8 +152,9 @@
   private async sendBatch(
     client: RpcClient<MeshRouterRoot>,
     outbox: DeltaOutbox,
+    inFlight: readonly BackendInFlight[],
   ): Promise<void> {
-    const delta = outbox.take(this.options.selfId, this.leaving);
+    const delta = outbox.take(this.options.selfId, this.leaving, inFlight);
     const result = await client.call(
       (api, signal) => api.mesh.push.mutate(delta, {signal}),
       CALL_TIMEOUT_MS,
@@ -125,8 +162,19 @@
     if (!result.ok) {
       log.debug('A peer took no batch.', {port: client.address.port});
       outbox.reset();
-    } else if (result.value.length > 0) {
-      outbox.reset();
+      return;
+    }
+    const {id, failureDomain, unknown} = result.value;
+    this.reached.set(id, {id, failureDomain, address: client.address});
+    if (unknown.length > 0) outbox.reset();
+  }
+
+  private forgetSilentPeers(): void {
+    const nowMs = monotonicMs();
+    for (const [id, heardMs] of this.heardFrom) {
+      if (nowMs - heardMs < PEER_LEASE_MS) continue;
+      this.heardFrom.delete(id);
+      this.peerLoads.forget(id);
     }
   }
 
@@ -134,6 +182,7 @@
     while (!signal.aborted) {
       await sleep(EXPIRE_INTERVAL_MS, signal);
       this.options.table.expire();
+      this.forgetSilentPeers();
     }
   }
 }
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,6 +1,14 @@
 export {BackendChangeKind, type BackendChange} from './backend_change.js';
+export {type BackendInFlight} from './backend_in_flight.js';
 export {type BackendRecord} from './backend_record.js';
 export {BackendTable} from './backend_table.js';
 export {type Delta} from './delta.js';
-export {EntryMesh, type EntryMeshOptions} from './entry_mesh.js';
+export {
+  EntryMesh,
+  type DeltaAnswer,
+  type EntryMeshOptions,
+  type LivePeer,
+} from './entry_mesh.js';
 export {createMeshRouter, type MeshRouterRoot} from './mesh_router.js';
+export {PeerLoads} from './peer_loads.js';
+export {DeltaOutbox} from './delta_outbox.js';
--- a/packages/protocol/src/announcement_schema.ts
+++ b/packages/protocol/src/announcement_schema.ts
@@ -36,6 +36,8 @@
   memoryTokens: count.default(0),
   prefillTokensPerSecond: count.default(0),
   decodeStepMs: count.default(0),
+  /** Most prompt tokens that one engine step processes. */
+  chunkTokens: count.default(2_048),
   state: z.nativeEnum(BackendState),
   leaseMs: z.number().int().positive().max(MAX_LEASE_MS),
   load: loadReportSchema,
--- a/packages/protocol/src/frame_kind.ts
+++ b/packages/protocol/src/frame_kind.ts
@@ -3,6 +3,8 @@
   /** Sent while there is nothing else, to show the stream is alive. */
   Heartbeat = 'heartbeat',
   Token = 'token',
+  /** A segment is processed and its KV cache is held. */
+  Ready = 'ready',
   Done = 'done',
   Error = 'error',
 }
--- a/packages/protocol/src/generate_request_schema.ts
+++ b/packages/protocol/src/generate_request_schema.ts
@@ -2,6 +2,14 @@
 
 const tokens = z.number().int().min(0);
 
+/** A part of a prompt that is too long for one engine. */
+const segmentSchema = z.object({
+  /** Tokens before this part, whose KV cache is imported. */
+  importTokens: tokens,
+  /** Hold the KV cache for the next parts instead of generating. */
+  holdOnly: z.boolean(),
+});
+
 /** Body of `POST /v1/generate`, from an entry host to an engine. */
 export const generateRequestSchema = z.object({
   requestId: z.string().min(1),
@@ -19,6 +27,6 @@
   priority: z.number().int().min(0),
   /** The engine releases the memory when no renewal comes for so long. */
   leaseMs: z.number().int().positive(),
-  /** Session whose KV cache the decode continues, for gangs. */
-  session: z.string().optional(),
+  /** Set when the request is a part of a prompt that several engines hold. */
+  segment: segmentSchema.optional(),
 });
--- /dev/null
+++ b/packages/routing/__tests__/reservations.test.ts
@@ -0,0 +1,165 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {
+  chooseOwner,
+  planGang,
+  ReservationBook,
+  type BackendView,
+} from '../src/index.js';
+
+const RUNS = Number(process.env['VMUX_PROPERTY_RUNS'] ?? 300);
+const property = {numRuns: RUNS, seed: 20_261_203};
+const MEMORY = 1_000;
+
+const actions = fc.array(
+  fc.record({
+    kind: fc.constantFrom('reserve', 'release', 'wait'),
+    backend: fc.nat(2),
+    holder: fc.nat(5),
+    tokens: fc.integer({min: 1, max: 700}),
+    waitMs: fc.nat(80),
+  }),
+  {maxLength: 80},
+);
+
+describe('reservations of engine memory', () => {
+  it('never exceed the memory and always end', () => {
+    fc.assert(
+      fc.property(actions, plan => {
+        let nowMs = 0;
+        const book = new ReservationBook(
+          () => MEMORY,
+          () => nowMs,
+        );
+        for (const {kind, backend, holder, tokens, waitMs} of plan) {
+          const backendId = `b${backend}`;
+          if (kind === 'wait') nowMs += waitMs;
+          else if (kind === 'release') book.release(backendId, `h${holder}`);
+          else {
+            book.reserve({
+              backendId,
+              holder: `h${holder}`,
+              tokens,
+              leaseMs: 50,
+            });
+          }
+          for (const id of ['b0', 'b1', 'b2']) {
+            assert.ok(book.granted(id) <= MEMORY);
+          }
+        }
+        nowMs += 50;
+        for (const id of ['b0', 'b1', 'b2']) assert.equal(book.granted(id), 0);
+      }),
+      property,
+    );
+  });
+
+  it('of gangs under any interleaving end with every gang served', () => {
+    fc.assert(
+      fc.property(fc.infiniteStream(fc.nat(2)), order => {
+        const book = new ReservationBook(() => MEMORY);
+        const engines = ['b0', 'b1', 'b2'];
+        // Three gangs of which any two are too large for the engines.
+        const waiting = new Map([0, 1, 2].map(gang => [gang, 0]));
+        const held = new Map<number, string[]>();
+        let steps = 0;
+        while (waiting.size > 0) {
+          assert.ok(++steps < 1_000, 'gangs wait for each other');
+          const gang = order.next().value as number;
+          if (!waiting.has(gang)) continue;
+          const at = waiting.get(gang)!;
+          const backendId = engines[at]!;
+          const mine = held.get(gang) ?? [];
+          const granted = book.reserve({
+            backendId,
+            holder: `g${gang}`,
+            tokens: 600,
+            leaseMs: 60_000,
+          });
+          if (granted && at < engines.length - 1) {
+            held.set(gang, [...mine, backendId]);
+            waiting.set(gang, at + 1);
+            continue;
+          }
+          // Refused, or served: either way it gives everything back.
+          for (const id of [...mine, backendId]) book.release(id, `g${gang}`);
+          held.delete(gang);
+          if (granted) waiting.delete(gang);
+          else waiting.set(gang, 0);
+        }
+        for (const id of engines) assert.equal(book.granted(id), 0);
+      }),
+      property,
+    );
+  });
+
+  it('move only the keys of a host that goes away', () => {
+    const hosts = ['e1', 'e2', 'e3', 'e4'];
+    const keys = Array.from({length: 200}, (_, index) => `engine-${index}`);
+    const remaining = hosts.filter(host => host !== 'e2');
+    for (const key of keys) {
+      const before = chooseOwner(key, hosts);
+      const after = chooseOwner(key, remaining);
+      if (before !== 'e2') assert.equal(after, before);
+    }
+    const owned = keys.filter(key => chooseOwner(key, hosts) === 'e1').length;
+    assert.ok(owned > 20 && owned < 90, `${owned} of 200`);
+  });
+});
+
+function createView(
+  id: string,
+  freeTokens: number,
+  isLocal = true,
+): BackendView {
+  return {
+    id,
+    incarnation: 1,
+    address: {host: '127.0.0.1', port: 1},
+    failureDomain: isLocal ? 'fd-a' : 'fd-b',
+    isLocal,
+    memoryTokens: 450_000,
+    prefillTokensPerSecond: 40_000,
+    decodeStepMs: 8,
+    chunkTokens: 2_048,
+    prefillByPriority: [],
+    runningStreams: 0,
+    freeTokens,
+    ownRequests: 0,
+  };
+}
+
+describe('plans of gangs', () => {
+  it('cover the whole prompt and fit every engine', () => {
+    fc.assert(
+      fc.property(
+        fc.integer({min: 1, max: 2_000_000}),
+        fc.integer({min: 1, max: 4_000}),
+        fc.array(fc.nat(450_000), {maxLength: 8}),
+        (promptTokens, maxTokens, free) => {
+          const views = free.map((tokens, index) =>
+            createView(`b${index}`, tokens, index % 2 === 0),
+          );
+          const parts = planGang(promptTokens, maxTokens, views);
+          if (!parts) {
+            const usable = free.reduce((sum, item) => sum + item * 0.95, 0);
+            assert.ok(usable < promptTokens + maxTokens + free.length);
+            return;
+          }
+          let next = 0;
+          parts.forEach((part, index) => {
+            assert.equal(part.importTokens, next);
+            next += part.promptTokens;
+            const isLast = index === parts.length - 1;
+            const needed = part.promptTokens + (isLast ? maxTokens : 0);
+            assert.ok(needed <= part.backend.freeTokens);
+            assert.ok(part.promptTokens >= 0);
+          });
+          assert.equal(next, promptTokens);
+        },
+      ),
+      property,
+    );
+  });
+});
--- a/packages/routing/src/backend_view.ts
+++ b/packages/routing/src/backend_view.ts
@@ -11,14 +11,14 @@
   readonly memoryTokens: number;
   readonly prefillTokensPerSecond: number;
   readonly decodeStepMs: number;
-  /** Prefill tokens that others have queued there, as far as reported. */
-  readonly othersPrefillTokens: number;
+  /** Most prompt tokens that one engine step processes. */
+  readonly chunkTokens: number;
+  /** Outstanding prefill tokens of all entry hosts, by engine priority. */
+  readonly prefillByPriority: readonly number[];
   /** Streams that it runs, as far as reported, this host's included. */
   readonly runningStreams: number;
-  /** Memory that is free by the last report, less what was sent since. */
+  /** Memory that is free by the last report and by what is in flight. */
   readonly freeTokens: number;
-  /** Prefill tokens of this host's requests, by engine priority. */
-  readonly ownPrefillTokens: readonly number[];
   /** Requests of this host in flight there. */
   readonly ownRequests: number;
 }
--- a/packages/routing/src/create_decision.ts
+++ b/packages/routing/src/create_decision.ts
@@ -33,11 +33,14 @@
   request: RoutingRequest,
   {backend, estimateMs}: RankedBackend,
 ): Candidate {
-  const own = backend.ownPrefillTokens.reduce((sum, tokens) => sum + tokens, 0);
+  const queued = backend.prefillByPriority.reduce(
+    (sum, tokens) => sum + tokens,
+    0,
+  );
   return {
     backend: backend.id,
     estimateMs: Math.round(estimateMs),
-    queuedTokens: Math.round(own + backend.othersPrefillTokens),
+    queuedTokens: Math.round(queued),
     cachedTokens: request.cachedTokens(backend.id),
   };
 }
--- a/packages/routing/src/estimated_first_token_policy.ts
+++ b/packages/routing/src/estimated_first_token_policy.ts
@@ -4,9 +4,20 @@
 import type {RoutingDecision} from './routing_decision.js';
 import {RoutingPolicy} from './routing_policy.js';
 import type {RoutingRequest} from './routing_request.js';
+import {splitByFailureDomain} from './split_by_failure_domain.js';
 
 const TIE_FRACTION = 0.05;
 const TIE_MS = 2;
+/** A prompt that takes so many engine steps counts as long. */
+const LONG_STEPS = 8;
+/** What a long prompt may lose to share an engine with other long ones. */
+const PACKING_FRACTION = 0.15;
+/** Remote candidates are looked at when the wait is longer than this. */
+const SPILL_WAIT_MS = 20;
+const SPILL_WAIT_FRACTION = 0.3;
+/** A remote candidate must be better by this factor; its load is older news. */
+const SPILL_FACTOR = 1.3;
+const REMOTE_SAMPLE = 8;
 
 /** Options of `EstimatedFirstTokenPolicy`. */
 export interface EstimatedFirstTokenOptions {
@@ -15,9 +26,13 @@
 }
 
 /**
- * Takes the candidate with the shortest estimated time to first token. Among
- * nearly equal ones it picks at random, so that hosts with the same lagging
- * reports do not all pick the same.
+ * Takes the candidate with the shortest estimated time to first token.
+ *
+ * Among nearly equal candidates, short prompts pick at random, so that hosts
+ * with the same news do not all pick the same. Long prompts pick the first by
+ * id, which gathers them on few engines and leaves the others to short ones.
+ * Engines of other failure domains are sampled only when the local ones make
+ * the request wait.
  */
 export class EstimatedFirstTokenPolicy extends RoutingPolicy {
   readonly name = 'estimated_first_token';
@@ -32,14 +47,73 @@
     request: RoutingRequest,
     candidates: readonly BackendView[],
   ): RoutingDecision {
-    const ranked: RankedBackend[] = candidates.map(backend => ({
-      backend,
-      estimateMs: estimateFirstTokenMs(request, backend),
-    }));
-    const bestMs = Math.min(...ranked.map(({estimateMs}) => estimateMs));
-    const limitMs = bestMs * (1 + TIE_FRACTION) + TIE_MS;
+    const {local, remote} = splitByFailureDomain(candidates);
+    const ranked = rank(request, local.length > 0 ? local : remote);
+    const chosen = this.pick(request, ranked);
+    if (local.length === 0 || !isWaiting(request, chosen)) {
+      return createDecision(request, chosen, ranked);
+    }
+    const sampled = rank(request, this.sample(remote));
+    if (sampled.length === 0) return createDecision(request, chosen, ranked);
+    const other = this.pick(request, sampled);
+    const spills = other.estimateMs * SPILL_FACTOR < chosen.estimateMs;
+    return createDecision(request, spills ? other : chosen, [
+      ...ranked,
+      ...sampled,
+    ]);
+  }
+
+  private pick(
+    request: RoutingRequest,
+    ranked: readonly RankedBackend[],
+  ): RankedBackend {
+    let bestMs = Infinity;
+    for (const {estimateMs} of ranked) bestMs = Math.min(bestMs, estimateMs);
+    const isLong = ranked.some(({backend}) => isLongFor(request, backend));
+    const fraction = isLong ? PACKING_FRACTION : TIE_FRACTION;
+    const limitMs = bestMs * (1 + fraction) + TIE_MS;
     const ties = ranked.filter(({estimateMs}) => estimateMs <= limitMs);
-    const chosen = ties[Math.floor(this.random() * ties.length)]!;
-    return createDecision(request, chosen, ranked);
+    if (!isLong) return ties[Math.floor(this.random() * ties.length)]!;
+    return ties.reduce((first, item) =>
+      item.backend.id < first.backend.id ? item : first,
+    );
   }
+
+  private sample(remote: readonly BackendView[]): readonly BackendView[] {
+    if (remote.length <= REMOTE_SAMPLE) return remote;
+    const start = Math.floor(this.random() * remote.length);
+    return Array.from(
+      {length: REMOTE_SAMPLE},
+      (_, step) => remote[(start + step) % remote.length]!,
+    );
+  }
+}
+
+function rank(
+  request: RoutingRequest,
+  backends: readonly BackendView[],
+): RankedBackend[] {
+  return backends.map(backend => ({
+    backend,
+    estimateMs: estimateFirstTokenMs(request, backend),
+  }));
+}
+
+function isLongFor(
+  {promptTokens}: RoutingRequest,
+  {chunkTokens}: BackendView,
+): boolean {
+  return promptTokens > LONG_STEPS * chunkTokens;
+}
+
+/** Whether the request would wait noticeably for others' work. */
+function isWaiting(
+  request: RoutingRequest,
+  {backend, estimateMs}: RankedBackend,
+): boolean {
+  const tokensPerMs = backend.prefillTokensPerSecond / 1_000;
+  const cached = request.cachedTokens(backend.id);
+  const unloadedMs = Math.max(0, request.promptTokens - cached) / tokensPerMs;
+  const waitMs = estimateMs - unloadedMs;
+  return waitMs > SPILL_WAIT_MS + SPILL_WAIT_FRACTION * unloadedMs;
 }
--- a/packages/routing/src/in_flight_ledger.ts
+++ b/packages/routing/src/in_flight_ledger.ts
@@ -7,6 +7,15 @@
   heldTokens: number;
 }
 
+/** This host's requests on one backend server, for its peers. */
+export interface BackendWork {
+  readonly backendId: string;
+  readonly requests: number;
+  readonly heldTokens: number;
+  /** Outstanding prefill tokens by engine priority. */
+  readonly prefillByPriority: readonly number[];
+}
+
 /** One request in flight on a backend server. */
 export interface InFlight {
   readonly backendId: string;
@@ -33,6 +42,16 @@
     return new FlightHandle(flight, load);
   }
 
+  /** This host's requests on every backend server that it has used. */
+  list(): BackendWork[] {
+    return [...this.loads].map(([backendId, load]) => ({
+      backendId,
+      requests: load.requests,
+      heldTokens: load.heldTokens,
+      prefillByPriority: load.prefillByPriority,
+    }));
+  }
+
   /** This host's requests on a backend server. */
   requestsOn(backendId: string): number {
     return this.loads.get(backendId)?.requests ?? 0;
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,14 +1,25 @@
 export {type BackendView} from './backend_view.js';
+export {chooseOwner} from './choose_owner.js';
 export {createPolicy} from './create_policy.js';
 export {estimateFirstTokenMs} from './estimate_first_token_ms.js';
 export {
   EstimatedFirstTokenPolicy,
   type EstimatedFirstTokenOptions,
 } from './estimated_first_token_policy.js';
-export {InFlightLedger, type InFlight} from './in_flight_ledger.js';
+export {
+  InFlightLedger,
+  type BackendWork,
+  type InFlight,
+} from './in_flight_ledger.js';
 export {LeastOutstandingPolicy} from './least_outstanding_policy.js';
+export {planGang, type GangPart} from './plan_gang.js';
 export {PolicyName} from './policy_name.js';
 export {PrefixIndex} from './prefix_index.js';
+export {
+  ReservationBook,
+  type MemoryReader,
+  type MemoryRequest,
+} from './reservation_book.js';
 export {RoundRobinPolicy} from './round_robin_policy.js';
 export {type RoutingDecision} from './routing_decision.js';
 export {RoutingPolicy} from './routing_policy.js';
--- a/packages/routing/src/round_robin_policy.ts
+++ b/packages/routing/src/round_robin_policy.ts
@@ -4,6 +4,7 @@
 import type {RoutingDecision} from './routing_decision.js';
 import {RoutingPolicy} from './routing_policy.js';
 import type {RoutingRequest} from './routing_request.js';
+import {preferLocal} from './split_by_failure_domain.js';
 
 /** Baseline: takes the candidates in turn. */
 export class RoundRobinPolicy extends RoutingPolicy {
@@ -12,8 +13,9 @@
 
   choose(
     request: RoutingRequest,
-    candidates: readonly BackendView[],
+    all: readonly BackendView[],
   ): RoutingDecision {
+    const candidates = preferLocal(all);
     const backend = candidates[this.turn++ % candidates.length]!;
     const estimateMs = estimateFirstTokenMs(request, backend);
     return createDecision(request, {backend, estimateMs}, []);
--- /dev/null
+++ b/scripts/bench.mjs
@@ -0,0 +1,5 @@
+// Builds what is needed and compares the routing policies.
+import {build} from './build.mjs';
+
+build();
+await import('../packages/load/dist/src/bench.js');
