feat(query): a small query and command language

Cause: operators are to drive the system through one language. Change: package query on chevrotain; vmux query and vmux shell; show, explain, what happened to key, set, drain, settle; changes go through compare-and-set. Errors name the column and suggest a word. Declarations can drain a backend server. Conclusion: the HTTP interface for operators and paging are not there yet.

--- a/packages/cli/src/bin/vmux.ts
+++ b/packages/cli/src/bin/vmux.ts
@@ -19,6 +19,7 @@
 } from '../commands/record_command.js';
 import {requestsCommand} from '../commands/requests_command.js';
 import {registerCommand, settleCommand} from '../commands/settle_command.js';
+import {shellCommand} from '../commands/shell_command.js';
 import {statusCommand} from '../commands/status_command.js';
 import {timelineCommand} from '../commands/timeline_command.js';
 import {ExitCode} from '../exit_code.js';
@@ -26,6 +27,7 @@
 import {operatorSettingsSchema} from '../operator_settings_schema.js';
 import {OperatorSession} from '../operator_session.js';
 import {OutputFormat} from '../output_format.js';
+import {QuerySession} from '../query_session.js';
 
 /** Flags that every command takes. */
 interface CommonFlags {
@@ -164,6 +166,15 @@
     (flags: CommonFlags & {request?: string; host?: string; kind?: string}) =>
       run(flags, ctx => timelineCommand(ctx, flags)),
   );
+cli
+  .command('query <statement>', 'Run a statement of the query language')
+  .example('vmux query "show requests where state = refused limit 20"')
+  .action((statement: string, flags: CommonFlags) =>
+    run(flags, ctx => new QuerySession(ctx).run(statement)),
+  );
+cli
+  .command('shell', 'Run statements from the terminal')
+  .action((flags: CommonFlags) => run(flags, shellCommand));
 cli.help(sections => [
   ...sections,
   {
--- /dev/null
+++ b/packages/cli/src/load_rows.ts
@@ -0,0 +1,158 @@
+import type {EntryStatus} from '@vanillamux/entry';
+import type {Announcement} from '@vanillamux/protocol';
+import {Subject, type QueryRow, type ShowQuery} from '@vanillamux/query';
+import {succeed, type Result} from '@vanillamux/shared';
+import type {OperatorSession} from './operator_session.js';
+
+const MAX_RECORD_ROWS = 10_000;
+
+/** Loads the rows of the list that a query shows. */
+export async function loadRows(
+  session: OperatorSession,
+  query: ShowQuery,
+): Promise<Result<QueryRow[]>> {
+  switch (query.subject) {
+    case Subject.Requests:
+      return succeed(await loadRequests(session, query.sinceMs));
+    case Subject.Backends:
+      return succeed(await loadBackends(session));
+    case Subject.Hosts:
+      return succeed(await loadHosts(session));
+    case Subject.Register:
+      return loadRegister(session);
+    case Subject.Workspaces:
+    case Subject.Classes:
+      return loadDeclared(session, query.subject);
+    case Subject.Versions:
+      return loadVersions(session);
+  }
+}
+
+async function loadRequests(
+  session: OperatorSession,
+  sinceMs?: number,
+): Promise<QueryRow[]> {
+  const {entries} = await session.collectRecord({limit: MAX_RECORD_ROWS});
+  const oldest =
+    sinceMs === undefined ? '' : new Date(Date.now() - sinceMs).toISOString();
+  return entries
+    .filter(({at, requestId}) => at >= oldest && requestId !== undefined)
+    .map(entry => ({
+      at: entry.at,
+      state: entry.kind,
+      request: entry.requestId ?? '',
+      workspace: entry.workspace ?? '',
+      class: entry.class ?? '',
+      target: entry.target ?? '',
+      tokens: entry.promptTokens ?? 0,
+      backend: entry.backend ?? '',
+      ran: entry.ran ?? '',
+      code: entry.code ?? '',
+      first_token_ms: entry.firstTokenMs ?? '',
+      duration_ms: entry.durationMs ?? '',
+    }));
+}
+
+async function loadBackends(session: OperatorSession): Promise<QueryRow[]> {
+  const answers = await session.callEntries<Announcement[]>((api, signal) =>
+    api.backends.query(undefined, {signal}),
+  );
+  const known = new Map<string, Announcement>();
+  for (const {result} of answers) {
+    for (const backend of result.ok ? result.value : []) {
+      known.set(backend.id, backend);
+    }
+  }
+  return [...known.values()].map(backend => ({
+    id: backend.id,
+    kind: backend.service ?? backend.kind,
+    domain: backend.failureDomain,
+    state: backend.state,
+    models: backend.models.join(' '),
+    queued: Math.round(backend.load.queuedPrefillTokens),
+    free: Math.round(backend.load.freeTokens),
+    streams: backend.load.runningStreams,
+  }));
+}
+
+async function loadHosts(session: OperatorSession): Promise<QueryRow[]> {
+  const control = await session.control.callAll((api, signal) =>
+    api.group.status.query(undefined, {signal}),
+  );
+  const entries = await session.callEntries<EntryStatus>((api, signal) =>
+    api.status.query(undefined, {signal}),
+  );
+  return [
+    ...control.map(({address, result}) => ({
+      host: result.ok
+        ? result.value.selfId.split('/')[0]!
+        : `${address.host}:${address.port}`,
+      kind: 'control',
+      state: result.ok ? result.value.role : 'unreachable',
+    })),
+    ...entries.map(({address, result}) => ({
+      host: result.ok ? result.value.id : `${address.host}:${address.port}`,
+      kind: 'entry',
+      state: result.ok
+        ? result.value.isReady
+          ? 'ready'
+          : 'not_ready'
+        : 'unreachable',
+    })),
+  ];
+}
+
+async function loadRegister(
+  session: OperatorSession,
+): Promise<Result<QueryRow[]>> {
+  const list = await session.control.callLeader((api, signal) =>
+    api.register.list.query(undefined, {signal}),
+  );
+  if (!list.ok) return list;
+  return succeed(
+    list.value.map(({workspace, service, key, state, requestId}) => ({
+      workspace,
+      service,
+      key,
+      state,
+      request: requestId,
+    })),
+  );
+}
+
+async function loadDeclared(
+  session: OperatorSession,
+  subject: Subject.Workspaces | Subject.Classes,
+): Promise<Result<QueryRow[]>> {
+  const current = await session.control.callLeader((api, signal) =>
+    api.declarations.current.query(undefined, {signal}),
+  );
+  if (!current.ok) return current;
+  const items: object[] = current.value.document[subject];
+  return succeed(
+    items.map(item =>
+      Object.fromEntries(
+        Object.entries(item).map(([name, value]) => [
+          name,
+          typeof value === 'object' ? JSON.stringify(value) : value,
+        ]),
+      ),
+    ),
+  );
+}
+
+async function loadVersions(
+  session: OperatorSession,
+): Promise<Result<QueryRow[]>> {
+  const history = await session.control.callLeader((api, signal) =>
+    api.declarations.history.query(undefined, {signal}),
+  );
+  if (!history.ok) return history;
+  return succeed(
+    history.value.map(({version, operator, acceptedAtMs}) => ({
+      version,
+      operator,
+      accepted: new Date(acceptedAtMs).toISOString(),
+    })),
+  );
+}
--- a/packages/protocol/src/declarations_schema.ts
+++ b/packages/protocol/src/declarations_schema.ts
@@ -71,7 +71,9 @@
   .object({
     /** Id of a backend server, or a prefix that ends in `*`. */
     id: z.string().min(1),
-    checksFencing: z.boolean(),
+    checksFencing: z.boolean().default(false),
+    /** A drained backend server gets no new requests. */
+    drained: z.boolean().default(false),
   })
   .strict();
 
--- /dev/null
+++ b/packages/query/src/operator.ts
@@ -0,0 +1,9 @@
+/** Comparisons in a condition. */
+export enum Operator {
+  Equal = '=',
+  NotEqual = '!=',
+  Less = '<',
+  Greater = '>',
+  /** The field contains the text. */
+  Like = 'like',
+}
--- /dev/null
+++ b/packages/query/src/parse_query.ts
@@ -0,0 +1,55 @@
+import {Lexer, type IRecognitionException} from 'chevrotain';
+import {fail, succeed, type Result} from '@vanillamux/shared';
+import type {Query} from './query.js';
+import {QueryError} from './query_error.js';
+import {QueryKind} from './query_kind.js';
+import {QueryParser} from './query_parser.js';
+import {Subject} from './subject.js';
+import {suggestWord} from './suggest_word.js';
+import {KEYWORD_TEXTS, TOKEN_LIST} from './tokens.js';
+
+const SUBJECTS: string[] = Object.values(Subject);
+const lexer = new Lexer(TOKEN_LIST);
+const parser = new QueryParser();
+
+/** Parses a statement; an error points at the column and suggests a word. */
+export function parseQuery(text: string): Result<Query, QueryError> {
+  const {tokens, errors} = lexer.tokenize(text);
+  const [bad] = errors;
+  if (bad) {
+    const column = bad.offset + 1;
+    return fail(new QueryError(text, column, 'this character has no meaning'));
+  }
+  parser.input = tokens;
+  const query = parser.statement();
+  const [error] = parser.errors;
+  if (error) return fail(explain(text, error));
+  if (query.kind === QueryKind.Show && !SUBJECTS.includes(query.subject)) {
+    const token = tokens[1]!;
+    return fail(
+      new QueryError(
+        text,
+        token.startOffset + 1,
+        `expected one of ${SUBJECTS.join(', ')}`,
+        suggestWord(token.image, SUBJECTS),
+      ),
+    );
+  }
+  return succeed(query);
+}
+
+function explain(text: string, {token}: IRecognitionException): QueryError {
+  const isEnd = token.image === '';
+  const column = isEnd ? text.trimEnd().length + 1 : token.startOffset + 1;
+  const reason = isEnd
+    ? 'the statement ends too early'
+    : `"${token.image}" does not fit here`;
+  return new QueryError(
+    text,
+    column,
+    reason,
+    isEnd
+      ? undefined
+      : suggestWord(token.image, [...KEYWORD_TEXTS, ...SUBJECTS]),
+  );
+}
--- a/scripts/check_imports.mjs
+++ b/scripts/check_imports.mjs
@@ -18,6 +18,7 @@
   'limits',
   'entry',
   'engine',
+  'query',
   'cli',
   'fleet',
   'load',
