fix(gang): leave out an engine that failed the request

Cause: a gang that lost an engine was planned again with the same engine, whose lease had not ended, and used up its attempts within 150 ms.

--- a/packages/consensus/src/raft_timing.ts
+++ b/packages/consensus/src/raft_timing.ts
@@ -10,7 +10,7 @@
 
 /** Timing for members a few milliseconds apart. */
 export const DEFAULT_TIMING: RaftTiming = {
-  heartbeatMs: 100,
+  heartbeatMs: 150,
   electionMinMs: 400,
   electionMaxMs: 700,
   callTimeoutMs: 300,
--- a/packages/entry/src/backend_directory.ts
+++ b/packages/entry/src/backend_directory.ts
@@ -6,6 +6,10 @@
 } from '@vanillamux/membership';
 import type {BackendView, InFlightLedger} from '@vanillamux/routing';
 import type {BackendHealth} from './backend_health.js';
+import type {DeclarationStore} from './declaration_store.js';
+
+/** Backend servers of each other failure domain that a decision looks at. */
+const REMOTE_SAMPLE = 5;
 
 /** What a request needs of a backend server. */
 export interface BackendNeed {
@@ -22,30 +26,28 @@
   readonly ledger: InFlightLedger;
   readonly peerLoads: PeerLoads;
   readonly health: BackendHealth;
+  readonly declarations: DeclarationStore;
 }
 
 /** Joins membership, own load and health into the views for routing. */
 export class BackendDirectory {
   constructor(private readonly options: BackendDirectoryOptions) {}
 
-  /** Model workers that can take the request. */
+  /**
+   * Model workers that can take the request: the local ones and a sample of
+   * every other failure domain, so that the cost does not grow with the fleet.
+   */
   candidates(need: BackendNeed): BackendView[] {
-    const {table, health} = this.options;
-    const usable = table
-      .list()
-      .filter(
-        ({announcement}) =>
-          announcement.kind === BackendKind.Model &&
-          announcement.state === BackendState.Ready &&
-          announcement.memoryTokens >= need.tokens &&
-          announcement.models.includes(need.model) &&
-          !need.excluded.has(announcement.id),
-      );
-    const healthy = usable.filter(({announcement: {id}}) =>
-      health.isUsable(id),
-    );
-    const pool = healthy.length > 0 ? healthy : usable;
-    return pool.map(record => this.view(record));
+    const {table, failureDomain} = this.options;
+    const sampled = table.sampleOutside(failureDomain, REMOTE_SAMPLE);
+    const near = [...table.listIn(failureDomain), ...sampled];
+    const usable = this.select(near, need);
+    return usable.length > 0 ? usable : this.allCandidates(need);
+  }
+
+  /** Every model worker that can take the request, for gangs. */
+  allCandidates(need: BackendNeed): BackendView[] {
+    return this.select(this.options.table.list(), need);
   }
 
   /** Largest memory of any model worker that serves a model, in tokens. */
@@ -65,10 +67,34 @@
         ({announcement}) =>
           announcement.kind === BackendKind.Service &&
           announcement.service === name &&
-          announcement.state === BackendState.Ready,
+          announcement.state === BackendState.Ready &&
+          !this.options.declarations.current.isDrained(announcement.id),
       );
   }
 
+  /** The healthy ones of those that fit, or all of them when none is healthy. */
+  private select(
+    records: readonly BackendRecord[],
+    need: BackendNeed,
+  ): BackendView[] {
+    const {health, declarations} = this.options;
+    const {current} = declarations;
+    const fitting = records.filter(
+      ({announcement}) =>
+        announcement.kind === BackendKind.Model &&
+        announcement.state === BackendState.Ready &&
+        announcement.memoryTokens >= need.tokens &&
+        announcement.models.includes(need.model) &&
+        !need.excluded.has(announcement.id) &&
+        !current.isDrained(announcement.id),
+    );
+    const healthy = fitting.filter(({announcement: {id}}) =>
+      health.isUsable(id),
+    );
+    const usable = healthy.length > 0 ? healthy : fitting;
+    return usable.map(record => this.view(record));
+  }
+
   private view({announcement}: BackendRecord): BackendView {
     const {ledger, peerLoads, failureDomain} = this.options;
     const {id, load, memoryTokens} = announcement;
--- a/packages/entry/src/declaration_index.ts
+++ b/packages/entry/src/declaration_index.ts
@@ -14,6 +14,7 @@
   private readonly workspacesByKey = new Map<string, WorkspaceDeclaration>();
   private readonly classes = new Map<string, ClassDeclaration>();
   private readonly services = new Map<string, ServiceDeclaration>();
+  private readonly drained: readonly string[];
   private readonly rules = new Map<string, RoutingRule[]>();
 
   constructor(declared?: DeclaredVersion) {
@@ -33,6 +34,9 @@
     for (const item of document?.services ?? []) {
       this.services.set(item.name, item);
     }
+    this.drained = (document?.backends ?? [])
+      .filter(({drained}) => drained)
+      .map(({id}) => id);
     for (const rule of document?.routing ?? []) {
       const rules = this.rules.get(rule.model) ?? [];
       this.rules.set(rule.model, [...rules, rule]);
@@ -53,6 +57,11 @@
     return this.services.get(name);
   }
 
+  /** Whether an operator has taken a backend server out of use. */
+  isDrained(backendId: string): boolean {
+    return this.drained.some(pattern => matchesId(pattern, backendId));
+  }
+
   /** Models that have a routing rule. */
   models(): string[] {
     return [...this.rules.keys()];
@@ -67,3 +76,9 @@
       );
   }
 }
+
+/** Matches an id against itself or a prefix that ends in `*`. */
+function matchesId(pattern: string, id: string): boolean {
+  if (!pattern.endsWith('*')) return pattern === id;
+  return id.startsWith(pattern.slice(0, -1));
+}
--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -119,6 +119,7 @@
       ledger: this.ledger,
       peerLoads: this.mesh.peerLoads,
       health: this.health,
+      declarations: this.declarations,
     });
     this.chat = new ChatHandler({
       declarations: this.declarations,
--- a/packages/entry/src/gang_runner.ts
+++ b/packages/entry/src/gang_runner.ts
@@ -21,6 +21,7 @@
   type Timeline,
 } from '@vanillamux/shared';
 import type {BackendDirectory} from './backend_directory.js';
+import {ENDED} from './ended.js';
 import {EngineAttempt} from './engine_attempt.js';
 import type {EngineCanceller} from './engine_canceller.js';
 import {SILENCE_LIMIT_MS, type EngineClient} from './engine_client.js';
@@ -53,6 +54,8 @@
   readonly sink: TokenSink;
   readonly report: GenerationReport;
   readonly assembler: FrameAssembler;
+  /** Engines that failed this request; they may still hold their lease. */
+  readonly failed: Set<string>;
 }
 
 /**
@@ -67,7 +70,7 @@
   /** Whether the engines together could hold the request. */
   canHold(job: GenerationJob): boolean {
     const candidates = this.options.directory
-      .candidates({model: job.model, tokens: 0, excluded: new Set()})
+      .allCandidates({model: job.model, tokens: 0, excluded: new Set()})
       .map(view => ({...view, freeTokens: view.memoryTokens}));
     const parts = planGang(job.promptTokens, job.maxTokens, candidates);
     return parts !== undefined;
@@ -81,7 +84,8 @@
     report: GenerationReport,
   ): Promise<Result<void>> {
     const assembler = new FrameAssembler(ctx.requestId);
-    const run: GangRun = {ctx, job, sink, report, assembler};
+    const failed = new Set<string>();
+    const run: GangRun = {ctx, job, sink, report, assembler, failed};
     for (;;) {
       report.attempts++;
       const result = await this.attempt(run);
@@ -118,7 +122,7 @@
     const ending = new AbortController();
     const signal = AbortSignal.any([run.ctx.signal, ending.signal]);
     const result = await this.process(run, parts, ending, signal);
-    ending.abort();
+    ending.abort(ENDED);
     parts.forEach(({backend}, index) =>
       this.options.canceller.cancel({
         address: backend.address,
@@ -137,14 +141,16 @@
   ): Promise<Result<{parts: GangPart[]; held: HeldMemory[]}>> {
     const {ctx, job} = run;
     while (!ctx.signal.aborted) {
-      const candidates = this.options.directory.candidates({
+      const candidates = this.options.directory.allCandidates({
         model: job.model,
         tokens: 0,
-        excluded: new Set(),
+        excluded: run.failed,
       });
       const parts = planGang(job.promptTokens, job.maxTokens, candidates);
       const held = parts && (await this.tryReserve(run, parts));
       if (parts && held) return succeed({parts, held});
+      // Better an engine that failed before than none.
+      if (!parts) run.failed.clear();
       const spread = MAX_BACKOFF_MS - MIN_BACKOFF_MS;
       await sleep(MIN_BACKOFF_MS + Math.random() * spread, ctx.signal);
     }
@@ -195,19 +201,41 @@
     signal: AbortSignal,
   ): Promise<Result<void>> {
     const request = composePart(run, part, index, true);
-    const opened = await this.options.client.generate(
-      part.backend.address,
-      request,
-      signal,
-    );
-    if (!opened.ok) return opened;
+    const {id, address} = part.backend;
+    const opened = await this.options.client.generate(address, request, signal);
+    if (!opened.ok) {
+      run.failed.add(id);
+      return opened;
+    }
     const frames = opened.value[Symbol.asyncIterator]();
-    const ready = await readUntilReady(frames, part.backend.id);
-    if (ready.ok) void watch(frames, ending);
+    const ready = await readUntilReady(frames, id);
+    if (!ready.ok) run.failed.add(id);
+    else void this.watch(run, id, frames, ending);
     return ready;
   }
 
-  private generate(
+  /** Ends the gang when an engine that holds a part goes silent or fails. */
+  private async watch(
+    run: GangRun,
+    backendId: string,
+    frames: AsyncIterator<Frame>,
+    ending: AbortController,
+  ): Promise<void> {
+    try {
+      for (;;) {
+        const item = await readWithin(frames, SILENCE_LIMIT_MS);
+        if (item === SILENT || item.done) break;
+        if (item.value.kind === FrameKind.Error) break;
+      }
+    } catch {
+      // A broken connection ends the gang as silence does.
+    }
+    if (ending.signal.aborted) return;
+    run.failed.add(backendId);
+    ending.abort(ENDED);
+  }
+
+  private async generate(
     run: GangRun,
     parts: readonly GangPart[],
     signal: AbortSignal,
@@ -215,7 +243,7 @@
     const {ctx, report, sink, assembler} = run;
     const last = parts.length - 1;
     const part = parts[last]!;
-    return new EngineAttempt({
+    const result = await new EngineAttempt({
       client: this.options.client,
       backend: part.backend,
       request: composePart(run, part, last, false),
@@ -234,6 +262,8 @@
         await sink.write(frame.text);
       },
     }).run();
+    if (!result.ok && !signal.aborted) run.failed.add(part.backend.id);
+    return result;
   }
 }
 
@@ -287,20 +317,3 @@
     }),
   );
 }
-
-/** Ends the gang when an engine that holds a part goes silent or fails. */
-async function watch(
-  frames: AsyncIterator<Frame>,
-  ending: AbortController,
-): Promise<void> {
-  try {
-    for (;;) {
-      const item = await readWithin(frames, SILENCE_LIMIT_MS);
-      if (item === SILENT || item.done) break;
-      if (item.value.kind === FrameKind.Error) break;
-    }
-  } catch {
-    // A broken connection ends the gang as silence does.
-  }
-  ending.abort();
-}
--- a/packages/fleet/src/tcp_relay.ts
+++ b/packages/fleet/src/tcp_relay.ts
@@ -87,6 +87,7 @@
       [target, caller],
     ] as const) {
       this.sockets.add(end);
+      end.setNoDelay(true);
       end.on('error', () => end.destroy());
       end.on('close', () => {
         this.sockets.delete(end);
--- a/packages/membership/src/backend_table.ts
+++ b/packages/membership/src/backend_table.ts
@@ -18,6 +18,8 @@
  */
 export class BackendTable {
   private readonly records = new Map<string, BackendRecord>();
+  /** Ids by failure domain, so that routing looks at its own first. */
+  private readonly domains = new Map<string, Set<string>>();
   private readonly tombstones = new Map<string, Tombstone>();
   private readonly bus = new EventBus<BackendChange>();
 
@@ -46,6 +48,7 @@
     const state = leaves ? BackendState.Leaving : BackendState.Ready;
     const stored: Announcement = {...announcement, state};
     this.records.set(id, {announcement: stored, heardMs, leaseEndsMs});
+    this.index(id, stored.failureDomain);
     this.bus.emit({
       kind: classifyChange(stored, sameLife ? present : undefined),
       announcement: stored,
@@ -59,6 +62,7 @@
     for (const [id, {announcement, leaseEndsMs}] of this.records) {
       if (leaseEndsMs > nowMs) continue;
       this.records.delete(id);
+      this.domains.get(announcement.failureDomain)?.delete(id);
       const {incarnation, sequence} = announcement;
       const endsMs = nowMs + TOMBSTONE_TTL_MS;
       this.tombstones.set(id, {incarnation, sequence, endsMs});
@@ -83,6 +87,43 @@
     );
   }
 
+  /** Backend servers of one failure domain whose lease holds. */
+  listIn(failureDomain: string): BackendRecord[] {
+    const ids = this.domains.get(failureDomain) ?? [];
+    return this.resolve(ids);
+  }
+
+  /**
+   * Backend servers of other failure domains, at most `count` of each, from a
+   * random place on.
+   */
+  sampleOutside(failureDomain: string, count: number): BackendRecord[] {
+    const sampled: string[] = [];
+    for (const [domain, ids] of this.domains) {
+      if (domain === failureDomain || ids.size === 0) continue;
+      const all = [...ids];
+      const start = Math.floor(Math.random() * all.length);
+      for (let step = 0; step < Math.min(count, all.length); step++) {
+        sampled.push(all[(start + step) % all.length]!);
+      }
+    }
+    return this.resolve(sampled);
+  }
+
+  private resolve(ids: Iterable<string>): BackendRecord[] {
+    const found: BackendRecord[] = [];
+    for (const id of ids) {
+      const record = this.get(id);
+      if (record) found.push(record);
+    }
+    return found;
+  }
+
+  private index(id: string, failureDomain: string): void {
+    const ids = this.domains.get(failureDomain) ?? new Set<string>();
+    this.domains.set(failureDomain, ids.add(id));
+  }
+
   private isNewer({id, incarnation, sequence}: Announcement): boolean {
     const known = this.records.get(id)?.announcement ?? this.tombstones.get(id);
     if (!known) return true;
--- a/packages/routing/src/split_by_failure_domain.ts
+++ b/packages/routing/src/split_by_failure_domain.ts
@@ -10,10 +10,10 @@
 export function splitByFailureDomain(
   candidates: readonly BackendView[],
 ): SplitCandidates {
-  return {
-    local: candidates.filter(({isLocal}) => isLocal),
-    remote: candidates.filter(({isLocal}) => !isLocal),
-  };
+  const local: BackendView[] = [];
+  const remote: BackendView[] = [];
+  for (const view of candidates) (view.isLocal ? local : remote).push(view);
+  return {local, remote};
 }
 
 /** The local candidates, or all when there is no local one. */
--- a/packages/storage/src/wal.ts
+++ b/packages/storage/src/wal.ts
@@ -1,3 +1,4 @@
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {succeed, type Result} from '@vanillamux/shared';
 import type {Disk} from './disk.js';
 import type {LogFile} from './log_file.js';
@@ -63,9 +64,11 @@
 
   /** Resolves when every record appended so far is durable. */
   sync(): Promise<void> {
-    this.nextFlush ??= this.enqueue(() => {
+    this.nextFlush ??= this.enqueue(async () => {
+      // Whatever else arrived in this turn of the event loop joins the sync.
+      await nextTurn();
       this.nextFlush = undefined;
-      return this.flush();
+      await this.flush();
     });
     return this.nextFlush;
   }
