--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -1,4 +1,5 @@
 import {ControlClient} from '@vanillamux/control';
+import {RetryBudget} from '@vanillamux/limits';
 import {
   BackendChangeKind,
   BackendTable,
@@ -227,6 +228,7 @@
       client: this.engineClient,
       canceller: this.canceller,
       reservations: this.reservations,
+      retries: new RetryBudget(),
       timeline: this.timeline,
     });
   }
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -1,3 +1,4 @@
+import type {RetryBudget} from '@vanillamux/limits';
 import type {Frame} from '@vanillamux/protocol';
 import type {
   InFlightLedger,
@@ -46,6 +47,7 @@
   readonly client: EngineClient;
   readonly canceller: EngineCanceller;
   readonly reservations: ReservationClient;
+  readonly retries: RetryBudget;
   readonly timeline: Timeline;
 }
 
@@ -94,6 +96,7 @@
     const excluded = new Set<string>();
     let decision = first;
     let faults = 0;
+    this.options.retries.deposit(ctx.workspace.name);
     for (;;) {
       report.attempts++;
       report.backend = decision.backend.id;
@@ -115,7 +118,9 @@
       if (isFull) {
         const waited = await this.waitForRoom(ctx, excluded);
         if (!waited) return fail(explainAbort(ctx));
-      } else if (++faults >= MAX_ATTEMPTS) return result;
+      } else if (++faults >= MAX_ATTEMPTS || !this.mayRetry(ctx)) {
+        return result;
+      }
       const next = this.decide(ctx, job, excluded);
       if (!next.ok) return result;
       decision = next.value;
@@ -123,6 +128,10 @@
     }
   }
 
+  private mayRetry({workspace}: RequestContext): boolean {
+    return this.options.retries.tryTake(workspace.name);
+  }
+
   /** Waits before every engine is asked again. Returns false when too late. */
   private async waitForRoom(
     ctx: RequestContext,
--- a/packages/load/src/measure_control.ts
+++ b/packages/load/src/measure_control.ts
@@ -36,6 +36,7 @@
   const fleet = await Fleet.create({
     folder,
     failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+    // The relays count bytes.
     relayControl: true,
     controlSettings: {syncDelayMs},
   });
@@ -45,7 +46,7 @@
   if (!serving.ok) throw serving.error;
   const figures = [
     ...(await measureIdle(fleet)),
-    ...(await measureCommits(session, folder, syncDelayMs)),
+    ...(await measureCommits(fleet, session, syncDelayMs)),
     ...(await measureInForce(session)),
     ...(syncDelayMs === 0 ? await measureCatchUp(fleet, session) : []),
     ...(syncDelayMs === 0 ? await measureFailover(fleet, session) : []),
@@ -102,11 +103,14 @@
 }
 
 async function measureCommits(
+  fleet: Fleet,
   session: OperatorSession,
-  folder: string,
   syncDelayMs: number,
 ): Promise<Figure[]> {
-  const syncTimes = await repeat(SINGLE_WRITES, createSyncProbe(folder));
+  const syncTimes = await repeat(
+    SINGLE_WRITES,
+    createSyncProbe(fleet.plan.folder),
+  );
   const callTimes = await repeat(SINGLE_WRITES, async () => {
     await session.control.callLeader((api, signal) =>
       api.group.formation.query(undefined, {signal}),
@@ -118,6 +122,8 @@
   const floorMs = syncMs + callMs;
   const commitMs = percentile(commitTimes, 0.5);
   const before = await readLog(session);
+  const {pid} = (await findLeader(fleet, session)).process;
+  const usedBefore = readProcessUsage(pid!).cpuSeconds;
   const startMs = monotonicMs();
   await Promise.all(
     Array.from({length: WRITERS}, async () => {
@@ -128,6 +134,7 @@
   );
   const seconds = (monotonicMs() - startMs) / 1_000;
   const after = await readLog(session);
+  const used = readProcessUsage(pid!).cpuSeconds - usedBefore;
   const commits = WRITERS * WRITES_PER_WRITER;
   return [
     {what: 'raw sync, p50', value: syncMs, unit: 'ms'},
@@ -153,6 +160,11 @@
       value: commits / (after.syncs - before.syncs),
       unit: 'commits',
     },
+    {
+      what: 'processor time of the leader per commit',
+      value: (used / commits) * 1_000,
+      unit: 'ms',
+    },
   ];
 }
 
--- a/packages/load/src/measure_entry.ts
+++ b/packages/load/src/measure_entry.ts
@@ -5,6 +5,7 @@
 import {Caller, Fleet, waitUntilServing} from '@vanillamux/fleet';
 import {estimateTokens, FrameKind} from '@vanillamux/protocol';
 import {monotonicMs, type Address} from '@vanillamux/shared';
+import {fitSlope} from './fit_slope.js';
 import {percentile} from './percentile.js';
 import {printFigures, type Figure} from './print_figures.js';
 import {readProcessUsage} from './process_usage.js';
@@ -12,6 +13,7 @@
 const REQUESTS = 200;
 const PARALLEL = 64;
 const PARALLEL_REQUESTS = 4_000;
+const TOKEN_REQUESTS = 640;
 const MIB = 1_024 * 1_024;
 const MODEL = 'parcel-7b';
 const PROMPT = 'x'.repeat(4_000);
@@ -40,6 +42,7 @@
   const through = await measureThrough(caller);
   const direct = await measureDirect(engine.address);
   const rate = await measureRate(caller, entry.process.pid!);
+  const token = await measureTokens(caller, entry.process.pid!);
   const resident = [...fleet.control, ...fleet.entries, engine].map(
     ({id, process}): Figure => ({
       what: `memory of ${id} after the run`,
@@ -56,6 +59,7 @@
     {what: 'first token through an entry, p50', value: through, unit: 'ms'},
     {what: 'added by the entry, p50', value: through - direct, unit: 'ms'},
     ...rate,
+    token,
     ...resident,
   ]);
 }
@@ -100,6 +104,28 @@
   return percentile(times.slice(REQUESTS / 4), 0.5);
 }
 
+/** Processor time of each further token: long answers against short ones. */
+async function measureTokens(caller: Caller, pid: number): Promise<Figure> {
+  const points: Array<[number, number]> = [];
+  for (const maxTokens of [1, 64, 256]) {
+    const before = readProcessUsage(pid);
+    for (let count = 0; count < TOKEN_REQUESTS; count += PARALLEL) {
+      await Promise.all(
+        Array.from({length: PARALLEL}, () => chat(caller, maxTokens)),
+      );
+    }
+    const {cpuSeconds} = readProcessUsage(pid);
+    const perRequestMs =
+      ((cpuSeconds - before.cpuSeconds) / TOKEN_REQUESTS) * 1_000;
+    points.push([maxTokens, perRequestMs * 1_000]);
+  }
+  return {
+    what: 'processor time of the entry per further token',
+    value: fitSlope(points).slope,
+    unit: 'us',
+  };
+}
+
 async function measureRate(caller: Caller, pid: number): Promise<Figure[]> {
   const before = readProcessUsage(pid);
   const startMs = monotonicMs();
