--- /dev/null
+++ b/packages/cli/__tests__/render_timeline.test.ts
@@ -0,0 +1,36 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {EventKind} from '@vanillamux/shared';
+import {renderTimeline} from '../src/render_timeline.js';
+
+describe('the time line as a page', () => {
+  const page = renderTimeline([
+    {
+      at: '2026-12-03T22:48:07.000Z~00000',
+      host: 'entry-1',
+      failureDomain: 'fd-a',
+      kind: EventKind.Refused,
+      requestId: 'r1',
+      detail: 'queue <full>',
+    },
+    {
+      at: '2026-12-03T22:48:09.000Z~00000',
+      host: 'control-1',
+      failureDomain: 'fd-b',
+      kind: EventKind.LeaderElected,
+      detail: 'leader in term 2',
+    },
+  ]);
+
+  it('has a lane for each host and a row for each event', () => {
+    assert.equal([...page.matchAll(/<line /g)].length, 2);
+    assert.equal([...page.matchAll(/<circle /g)].length, 2);
+    assert.match(page, /<td>entry-1 \(fd-a\)<td>refused<td>r1/);
+    assert.match(page, /2\.0 s/);
+  });
+
+  it('cannot be broken by what an event says', () => {
+    assert.match(page, /queue &lt;full>/);
+    assert.doesNotMatch(page, /queue <full>/);
+  });
+});
--- a/packages/cli/src/bin/vmux.ts
+++ b/packages/cli/src/bin/vmux.ts
@@ -163,9 +163,16 @@
   .option('--request <id>', 'Only this request')
   .option('--host <host>', 'Only this host')
   .option('--kind <kind>', 'Only this kind')
+  .option('--html <file>', 'Write a page that a person can read')
   .action(
-    (flags: CommonFlags & {request?: string; host?: string; kind?: string}) =>
-      run(flags, ctx => timelineCommand(ctx, flags)),
+    (
+      flags: CommonFlags & {
+        request?: string;
+        host?: string;
+        kind?: string;
+        html?: string;
+      },
+    ) => run(flags, ctx => timelineCommand(ctx, flags)),
   );
 cli
   .command('order <backend> <model>', 'Order an engine to load a model')
--- a/packages/cli/src/commands/timeline_command.ts
+++ b/packages/cli/src/commands/timeline_command.ts
@@ -1,13 +1,17 @@
+import {writeFile} from 'node:fs/promises';
 import type {TimelineEvent} from '@vanillamux/shared';
 import type {CommandContext} from '../command_context.js';
 import {ExitCode} from '../exit_code.js';
 import {OutputFormat} from '../output_format.js';
+import {renderTimeline} from '../render_timeline.js';
 
 /** Selects events of the time line. */
 export interface TimelineFilter {
   readonly request?: string;
   readonly host?: string;
   readonly kind?: string;
+  /** File that receives the time line as a page. */
+  readonly html?: string;
 }
 
 /** Merges the events of all processes by hybrid logical time. */
@@ -25,6 +29,11 @@
     .flatMap(({result}) => (result.ok ? result.value : []))
     .filter(event => matches(event, filter))
     .sort((a, b) => (a.at < b.at ? -1 : 1));
+  if (filter.html) {
+    await writeFile(filter.html, renderTimeline(events));
+    process.stdout.write(`Wrote ${events.length} events to ${filter.html}.\n`);
+    return ExitCode.Ok;
+  }
   if (output === OutputFormat.Json) {
     process.stdout.write(`${JSON.stringify(events, undefined, 2)}\n`);
     return ExitCode.Ok;
