feat(control): standbys shown to replace a lost voter, members added by hand

Cause: replacement by a standby had no test; an operator's add was undone by the host's own repeated question; the question was logged four times a second. Measured: a standby takes the place of a killed voter and the group bears the loss of another host right after (3 tests in real processes).

--- a/packages/cli/src/bin/vmux.ts
+++ b/packages/cli/src/bin/vmux.ts
@@ -1,6 +1,6 @@
 import {SettleOutcome} from '@vanillamux/control';
 import {RecordKind} from '@vanillamux/protocol';
-import {loadSettings, VERSION} from '@vanillamux/shared';
+import {loadSettings, VERSION, type Address} from '@vanillamux/shared';
 import {cac} from 'cac';
 import type {CommandContext} from '../command_context.js';
 import {applyCommand} from '../commands/apply_command.js';
@@ -9,6 +9,7 @@
 import {getCommand} from '../commands/get_command.js';
 import {historyCommand, rollbackCommand} from '../commands/history_command.js';
 import {
+  addMemberCommand,
   listMembersCommand,
   removeMemberCommand,
 } from '../commands/members_command.js';
@@ -142,20 +143,27 @@
     return exit(ExitCode.BadInput, 'action: expected verify or export');
   });
 cli
-  .command('control <object> [action] [id]', 'control members [remove ID]')
+  .command(
+    'control <object> [action] [target]',
+    'control members [add HOST:PORT | remove ID]',
+  )
   .action(
     (
       object: string,
       action: string | undefined,
-      id: string | undefined,
+      target: string | undefined,
       flags: CommonFlags,
     ) => {
-      if (object === 'members' && !action)
-        return run(flags, listMembersCommand);
-      if (object === 'members' && action === 'remove' && id) {
-        return run(flags, ctx => removeMemberCommand(ctx, id));
+      if (object !== 'members') return refuseMembers();
+      if (!action) return run(flags, listMembersCommand);
+      const address = parseAddress(target ?? '');
+      if (action === 'add' && address) {
+        return run(flags, ctx => addMemberCommand(ctx, address));
       }
-      return exit(ExitCode.BadInput, 'expected members or members remove ID');
+      if (action === 'remove' && target) {
+        return run(flags, ctx => removeMemberCommand(ctx, target));
+      }
+      return refuseMembers();
     },
   );
 cli
@@ -243,6 +251,15 @@
   exit(ExitCode.Ok);
 }
 
+function refuseMembers(): void {
+  exit(ExitCode.BadInput, 'expected members [add HOST:PORT | remove ID]');
+}
+
+function parseAddress(text: string): Address | undefined {
+  const [, host, port] = /^(.+):(\d+)$/.exec(text) ?? [];
+  return host && port ? {host, port: Number(port)} : undefined;
+}
+
 function exit(code: ExitCode, message?: string): void {
   if (message) process.stderr.write(`${message}\n`);
   process.exitCode = code;
--- a/packages/cli/src/commands/members_command.ts
+++ b/packages/cli/src/commands/members_command.ts
@@ -1,4 +1,5 @@
-import type {Member} from '@vanillamux/control';
+import {ControlClient} from '@vanillamux/control';
+import type {Address} from '@vanillamux/shared';
 import type {CommandContext} from '../command_context.js';
 import {ExitCode} from '../exit_code.js';
 import {printRows} from '../print_rows.js';
@@ -29,8 +30,15 @@
 /** Adds a host that runs without a group; it becomes a voter by itself. */
 export async function addMemberCommand(
   {session}: CommandContext,
-  member: Member,
+  address: Address,
 ): Promise<ExitCode> {
+  const host = new ControlClient([address]);
+  const formation = await host.callAny((api, signal) =>
+    api.group.formation.query(undefined, {signal}),
+  );
+  host.close();
+  if (!formation.ok) return reportError(formation.error);
+  const {member} = formation.value;
   const result = await session.control.callLeader((api, signal) =>
     api.group.add.mutate(member, {signal}),
   );
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -17,6 +17,7 @@
  */
 export class GroupJoiner {
   private readonly clients: Array<RpcClient<ControlRouter>>;
+  private hasAsked = false;
 
   constructor(private readonly host: ControlHost) {
     const {group, standbys} = host.settings;
@@ -96,7 +97,8 @@
         CALL_TIMEOUT_MS,
       );
       if (result.ok) {
-        log.info('Asked the leader to join the group.');
+        if (!this.hasAsked) log.info('Asked the leader to join the group.');
+        this.hasAsked = true;
         return;
       }
     }
--- a/packages/control/src/member_keeper.ts
+++ b/packages/control/src/member_keeper.ts
@@ -69,7 +69,7 @@
   }
 
   private note(member: Member, byOperator: boolean): Result<boolean> {
-    const {status} = {status: this.host.node.status()};
+    const status = this.host.node.status();
     if (status.role !== RaftRole.Leader) {
       const leader = status.members.find(({id}) => id === status.leaderId);
       const field = leader
@@ -77,10 +77,12 @@
         : undefined;
       return fail(new VmuxError(ErrorCodes.NotLeader, {field}));
     }
+    const before = this.joining.get(member.id);
     this.joining.set(member.id, {
       member,
       seenMs: monotonicMs(),
-      byOperator,
+      // The host asks again and again; that must not undo the operator's word.
+      byOperator: byOperator || before?.byOperator === true,
     });
     return succeed(true);
   }
--- /dev/null
+++ b/packages/fleet/__tests__/standby.test.ts
@@ -0,0 +1,75 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import type {OperatorSession} from '@vanillamux/cli';
+import {Fleet, waitUntilServing} from '../src/index.js';
+
+const DECLARATIONS = 'examples/quickstart';
+const LIMIT_MS = 20_000;
+const REPLACE_AFTER_MS = 1_500;
+
+describe('a group with a standby', () => {
+  let fleet: Fleet;
+  let session: OperatorSession;
+
+  before(async () => {
+    fleet = await Fleet.create({
+      folder: mkdtempSync(join(tmpdir(), 'vmux-standby-')),
+      failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+      standbyHosts: 1,
+      controlSettings: {replaceAfterMs: REPLACE_AFTER_MS},
+      entrySettings: {drainNoticeMs: 0},
+    });
+    fleet.start();
+    session = fleet.openSession();
+    const serving = await waitUntilServing(fleet, session, DECLARATIONS);
+    assert.ok(serving.ok, serving.ok ? '' : serving.error.message);
+  });
+
+  after(async () => {
+    session.close();
+    await fleet.stop();
+  });
+
+  async function readVoters(): Promise<string[]> {
+    const status = await session.control.callLeader(async (api, signal) => {
+      await api.declarations.current.query(undefined, {signal});
+      return api.group.status.query(undefined, {signal});
+    });
+    if (!status.ok) return [];
+    return status.value.members
+      .filter(({role}) => role === 'voter')
+      .map(({hostId}) => hostId)
+      .sort();
+  }
+
+  it('leaves the standby out while nothing is lost', async () => {
+    assert.deepEqual(await readVoters(), [
+      'control-1',
+      'control-2',
+      'control-3',
+    ]);
+  });
+
+  it('replaces a voter that stays away', async () => {
+    await fleet.control[1]!.process.stop('SIGKILL');
+    const replaced = await fleet.waitFor('the repair', LIMIT_MS, async () => {
+      const voters = await readVoters();
+      return voters.join() === 'control-1,control-3,control-4';
+    });
+    assert.ok(replaced.ok, (await readVoters()).join());
+  });
+
+  it('bears the loss of another host after the repair', async () => {
+    await fleet.control[2]!.process.stop('SIGKILL');
+    const current = await fleet.waitFor('a leader', LIMIT_MS, async () => {
+      const answer = await session.control.callLeader((api, signal) =>
+        api.declarations.current.query(undefined, {signal}),
+      );
+      return answer.ok && answer.value.version > 0;
+    });
+    assert.ok(current.ok);
+  });
+});
--- a/packages/fleet/src/fleet.ts
+++ b/packages/fleet/src/fleet.ts
@@ -51,7 +51,8 @@
     mkdirSync(join(plan.folder, 'settings'), {recursive: true});
     mkdirSync(join(plan.folder, 'logs'), {recursive: true});
     const {failureDomains} = plan;
-    const controlCount = plan.controlHosts ?? DEFAULT_CONTROL_HOSTS;
+    const controlCount =
+      (plan.controlHosts ?? DEFAULT_CONTROL_HOSTS) + (plan.standbyHosts ?? 0);
     const entryCount = (plan.entriesPerDomain ?? 1) * failureDomains.length;
     const engineCount = plan.engines ?? 0;
     const serviceNames = Object.entries(plan.services ?? {}).flatMap(
@@ -156,11 +157,12 @@
   }
 
   private writeSettings(serviceNames: readonly string[]): void {
-    const group = this.control.map(host => ({
+    const hosts = this.control.map(host => ({
       id: host.id,
       failureDomain: host.failureDomain,
       address: reachableAddress(host),
     }));
+    const size = hosts.length - (this.plan.standbyHosts ?? 0);
     for (const host of this.control) {
       this.write(host.id, {
         id: host.id,
@@ -168,7 +170,8 @@
         listen: host.address,
         ...(host.relay ? {advertise: host.relay.address} : {}),
         dataFolder: join(this.plan.folder, 'data', host.id),
-        group,
+        group: hosts.slice(0, size),
+        standbys: hosts.slice(size),
         ...this.plan.controlSettings,
       });
     }
--- a/packages/fleet/src/fleet_plan.ts
+++ b/packages/fleet/src/fleet_plan.ts
@@ -7,6 +7,8 @@
   readonly folder: string;
   readonly failureDomains: readonly string[];
   readonly controlHosts?: number;
+  /** Control hosts that may replace a lost one of the group. */
+  readonly standbyHosts?: number;
   readonly entriesPerDomain?: number;
   readonly engines?: number;
   readonly models?: readonly string[];
