feat(entry): start with the peers' declarations when cut off

Cause: an entry host without a disk that started while no control host could be reached had no declarations and served nothing; one that reached only a lagging control host could serve an older version than its failure domain had. Change: until a group with a leader has confirmed a version, a host asks its peers and takes the highest; it is ready only after it has asked. Before: not ready for ever. After: ready with its peers' version in a real process test with every control host killed, and it answers chat requests.

--- a/packages/entry/src/declaration_index.ts
+++ b/packages/entry/src/declaration_index.ts
@@ -17,7 +17,7 @@
   private readonly drained: readonly string[];
   private readonly rules = new Map<string, RoutingRule[]>();
 
-  constructor(declared?: DeclaredVersion) {
+  constructor(readonly declared?: DeclaredVersion) {
     this.version = declared?.version ?? 0;
     const document = declared?.document;
     for (const workspace of document?.workspaces ?? []) {
--- a/packages/entry/src/declaration_store.ts
+++ b/packages/entry/src/declaration_store.ts
@@ -10,6 +10,7 @@
 } from '@vanillamux/shared';
 import type {Stream} from 'most';
 import {DeclarationIndex} from './declaration_index.js';
+import type {PeerDeclarations} from './peer_declarations.js';
 
 const WAIT_MS = 1_000;
 const CALL_TIMEOUT_MS = 1_600;
@@ -29,10 +30,12 @@
   private freshMs = Number.NEGATIVE_INFINITY;
   private readonly startedMs = monotonicMs();
   private wasStale = false;
+  private hasAskedPeers = false;
   private readonly bus = new EventBus<DeclarationIndex>();
 
   constructor(
     private readonly control: ControlClient,
+    private readonly peers: PeerDeclarations,
     private readonly timeline: Timeline,
   ) {}
 
@@ -52,7 +55,8 @@
    */
   get isReady(): boolean {
     if (this.index.version === 0) return false;
-    if (Number.isFinite(this.freshMs)) return true;
+    if (this.isConfirmed) return true;
+    if (!this.hasAskedPeers) return false;
     return monotonicMs() - this.startedMs > FIRST_VERSION_PATIENCE_MS;
   }
 
@@ -74,6 +78,7 @@
       );
       if (answers.ok) this.accept(answers.value);
       else await sleep(RETRY_DELAY_MS, signal);
+      if (!this.isConfirmed) await this.askPeers();
       if (answers.ok && answers.value.leaderSilentMs > STALE_AFTER_MS) {
         await this.askOthers();
         await sleep(RETRY_DELAY_MS, signal);
@@ -91,6 +96,21 @@
     this.bus.emit(this.index);
   }
 
+  /** Whether a group with a leader has confirmed a version since the start. */
+  private get isConfirmed(): boolean {
+    return Number.isFinite(this.freshMs);
+  }
+
+  /**
+   * A host that starts while it is cut off must not serve an older version than
+   * its failure domain already has.
+   */
+  private async askPeers(): Promise<void> {
+    const highest = await this.peers.readHighest(this.index.version);
+    if (highest) this.adopt(highest);
+    this.hasAskedPeers = true;
+  }
+
   private accept({declared, leaderSilentMs}: FeedAnswer): void {
     if (declared) this.adopt(declared);
     if (leaderSilentMs < STALE_AFTER_MS) {
--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -33,6 +33,7 @@
 import type {EntryStatus} from './entry_status.js';
 import {GangRunner} from './gang_runner.js';
 import {GenerationRunner} from './generation_runner.js';
+import {PeerDeclarations} from './peer_declarations.js';
 import {Recorder} from './recorder.js';
 import {RequestDesk} from './request_desk.js';
 import {ReservationClient} from './reservation_client.js';
@@ -68,6 +69,7 @@
   private readonly stopping = new AbortController();
   private readonly control: ControlClient;
   private readonly settler: Settler;
+  private readonly peerDeclarations: PeerDeclarations;
   private readonly reservations: ReservationClient;
   private readonly engineClient = new EngineClient();
   private readonly canceller: EngineCanceller;
@@ -107,7 +109,12 @@
       clock,
       control: this.control,
     });
-    this.declarations = new DeclarationStore(this.control, this.timeline);
+    this.peerDeclarations = new PeerDeclarations(settings.peers, id);
+    this.declarations = new DeclarationStore(
+      this.control,
+      this.peerDeclarations,
+      this.timeline,
+    );
     this.desk = new RequestDesk({
       entryId: id,
       recorder: this.recorder,
@@ -213,6 +220,7 @@
     await this.recorder.close(FLUSH_LIMIT_MS);
     this.stopping.abort();
     this.control.close();
+    this.peerDeclarations.close();
     this.reservations.close();
     await this.engineClient.close();
     await this.serviceClient.close();
--- a/packages/entry/src/entry_router.ts
+++ b/packages/entry/src/entry_router.ts
@@ -1,6 +1,8 @@
 import {createMeshRouter} from '@vanillamux/membership';
+import type {DeclaredVersion} from '@vanillamux/protocol';
 import {rpcBuilder} from '@vanillamux/rpc';
 import {monotonicMs} from '@vanillamux/shared';
+import {z} from 'zod';
 import type {EntryHost} from './entry_host.js';
 import {createReservationRouter} from './reservation_router.js';
 
@@ -12,6 +14,14 @@
     mesh: createMeshRouter(host.mesh),
     reservations: createReservationRouter(host.reservationBook),
     status: procedure.query(() => host.status()),
+    /** The declarations in force here, if newer than the caller's. */
+    declared: procedure
+      .input(z.object({haveVersion: z.number().int().min(0)}))
+      .query(({input}): DeclaredVersion | undefined => {
+        const {declared} = host.declarations.current;
+        const isNewer = (declared?.version ?? 0) > input.haveVersion;
+        return isNewer ? declared : undefined;
+      }),
     backends: procedure.query(() =>
       host.table.list().map(({announcement, heardMs}) => ({
         ...announcement,
--- a/packages/fleet/__tests__/control_failures.test.ts
+++ b/packages/fleet/__tests__/control_failures.test.ts
@@ -235,6 +235,45 @@
     await waitForClaims();
   });
 
+  it('lets an entry host start with its peers’ version when it is cut off', async () => {
+    const [restarted, peer] = fleet.entries;
+    const versionOf = async (host: FleetHost) => {
+      const place = fleet.entries.indexOf(host);
+      const statuses = await session.callEntries<EntryStatus>((api, signal) =>
+        api.status.query(undefined, {signal}),
+      );
+      const {result} = statuses[place]!;
+      return result.ok && result.value.isReady ? result.value.version : 0;
+    };
+    const version = await versionOf(peer!);
+    assert.ok(version > 0);
+    for (const {process} of fleet.control) await process.stop('SIGKILL');
+    await restarted!.process.stop('SIGKILL');
+    restarted!.process.start();
+    const ready = await fleet.waitFor(
+      'that it is ready',
+      RECOVERY_LIMIT_MS,
+      async () => (await versionOf(restarted!)) === version,
+    );
+    assert.ok(ready.ok, ready.ok ? '' : ready.error.message);
+    const served = await fleet.waitFor(
+      'an answer',
+      RECOVERY_LIMIT_MS,
+      async () => {
+        const chat = await caller.chat({
+          apiKey: 'tartu-demo-key',
+          model: 'parcel-7b',
+          prompt: 'x'.repeat(400),
+          maxTokens: 4,
+        });
+        return chat.status === 200;
+      },
+    );
+    assert.ok(served.ok);
+    for (const {process} of fleet.control) process.start();
+    await waitForClaims();
+  });
+
   it('has run every answered claim once and no refused one', async () => {
     const counts = await countExecutions();
     for (let number = 0; number < submitted; number++) {
