fix(timeline): carry hybrid time between processes

Cause: every process kept a hybrid logical clock, but none heard another's, so events of hosts whose wall clocks differ could be merged in the wrong order. Change: batches between entry hosts and waits for declarations carry the time both ways. Conclusion: a peer whose clock is far ahead still drags the others along; a bound is to be added.

--- a/packages/control/src/declaration_feed.ts
+++ b/packages/control/src/declaration_feed.ts
@@ -8,6 +8,8 @@
   readonly version: number;
   /** Present only when it is newer than the one the host has. */
   readonly declared?: DeclaredVersion;
+  /** Hybrid logical time of the answering host. */
+  readonly at: string;
   /** Milliseconds since the answering host knew a leader with a quorum. */
   readonly leaderSilentMs: number;
 }
@@ -33,6 +35,7 @@
     const {version} = this.current;
     return {
       version,
+      at: this.host.timeline.clock.now(),
       declared: version > haveVersion ? this.current : undefined,
       leaderSilentMs: this.host.node.status().leaderSilentMs,
     };
--- a/packages/control/src/declarations_router.ts
+++ b/packages/control/src/declarations_router.ts
@@ -21,6 +21,8 @@
 const waitSchema = z.object({
   haveVersion: z.number().int().min(0),
   waitMs: z.number().int().min(0).max(MAX_WAIT_MS),
+  /** Hybrid logical time of the caller, if it keeps one. */
+  at: z.string().optional(),
 });
 
 /** Creates the routes for declarations. */
@@ -48,9 +50,10 @@
       unwrap(await host.node.confirmLeadership());
       return host.machine.declared.current;
     }),
-    wait: procedure
-      .input(waitSchema)
-      .query(({input}) => feed.wait(input.haveVersion, input.waitMs)),
+    wait: procedure.input(waitSchema).query(({input}) => {
+      if (input.at) host.timeline.clock.observe(input.at);
+      return feed.wait(input.haveVersion, input.waitMs);
+    }),
     history: procedure.query(() => [...host.machine.declared.versions()]),
   });
 }
--- a/packages/entry/src/declaration_store.ts
+++ b/packages/entry/src/declaration_store.ts
@@ -71,7 +71,11 @@
       const answers = await this.control.callAny(
         (api, callSignal) =>
           api.declarations.wait.query(
-            {haveVersion: this.index.version, waitMs: WAIT_MS},
+            {
+              haveVersion: this.index.version,
+              waitMs: WAIT_MS,
+              at: this.timeline.clock.now(),
+            },
             {signal: callSignal},
           ),
         CALL_TIMEOUT_MS,
@@ -111,7 +115,8 @@
     this.hasAskedPeers = true;
   }
 
-  private accept({declared, leaderSilentMs}: FeedAnswer): void {
+  private accept({declared, leaderSilentMs, at}: FeedAnswer): void {
+    this.timeline.clock.observe(at);
     if (declared) this.adopt(declared);
     if (leaderSilentMs < STALE_AFTER_MS) {
       this.freshMs = monotonicMs() - leaderSilentMs;
--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -93,6 +93,7 @@
       selfId: id,
       failureDomain,
       peers: settings.peers,
+      clock,
       table: this.table,
       readInFlight: () => this.ledger.list(),
     });
--- a/packages/fleet/src/managed_process.ts
+++ b/packages/fleet/src/managed_process.ts
@@ -47,6 +47,12 @@
     closeSync(log);
   }
 
+  /** Waits until the process has ended by itself. Returns the exit code. */
+  async ended(): Promise<number | null> {
+    if (this.child && this.isRunning) await once(this.child, 'exit');
+    return this.exitCode;
+  }
+
   /** Sends a signal. */
   signal(signal: NodeJS.Signals): void {
     if (this.isRunning) this.child?.kill(signal);
--- a/packages/membership/src/delta_outbox.ts
+++ b/packages/membership/src/delta_outbox.ts
@@ -42,6 +42,7 @@
   ): Delta {
     const delta: Delta = {
       from,
+      at: '',
       announcements: [],
       loads: [],
       inFlight: this.takeInFlight(inFlight),
--- a/packages/membership/src/delta_schema.ts
+++ b/packages/membership/src/delta_schema.ts
@@ -27,6 +27,8 @@
 /** A batch of changes that entry hosts send to each other. */
 export const deltaSchema = z.object({
   from: z.string(),
+  /** Hybrid logical time of the sender. */
+  at: z.string(),
   /** Whole announcements, for backend servers new to the receiver. */
   announcements: z
     .array(z.object({announcement: announcementSchema, ageMs: z.number()}))
--- a/packages/membership/src/entry_mesh.ts
+++ b/packages/membership/src/entry_mesh.ts
@@ -1,5 +1,11 @@
 import {RpcClient} from '@vanillamux/rpc';
-import {getLogger, monotonicMs, sleep, type Address} from '@vanillamux/shared';
+import {
+  getLogger,
+  monotonicMs,
+  sleep,
+  type Address,
+  type HybridClock,
+} from '@vanillamux/shared';
 import type {Announcement} from '@vanillamux/protocol';
 import type {BackendInFlight} from './backend_in_flight.js';
 import type {BackendTable} from './backend_table.js';
@@ -27,6 +33,8 @@
 export interface DeltaAnswer {
   readonly id: string;
   readonly failureDomain: string;
+  /** Hybrid logical time of the receiver. */
+  readonly at: string;
   readonly unknown: string[];
 }
 
@@ -35,6 +43,7 @@
   readonly selfId: string;
   readonly failureDomain: string;
   readonly peers: readonly Address[];
+  readonly clock: HybridClock;
   readonly table: BackendTable;
   /** What this host has in flight, for the peers' routing. */
   readonly readInFlight: () => BackendInFlight[];
@@ -76,7 +85,8 @@
 
   /** Takes a batch from a peer. Returns the ids it must send in whole. */
   receive(delta: Delta): DeltaAnswer {
-    const {table, selfId, failureDomain} = this.options;
+    const {table, selfId, failureDomain, clock} = this.options;
+    clock.observe(delta.at);
     if (delta.leaving) {
       this.heardFrom.delete(delta.from);
       this.peerLoads.forget(delta.from);
@@ -105,7 +115,7 @@
         ageMs,
       );
     }
-    return {id: selfId, failureDomain, unknown};
+    return {id: selfId, failureDomain, at: clock.now(), unknown};
   }
 
   /** Peers that are heard and have answered. */
@@ -154,7 +164,8 @@
     outbox: DeltaOutbox,
     inFlight: readonly BackendInFlight[],
   ): Promise<void> {
-    const delta = outbox.take(this.options.selfId, this.leaving, inFlight);
+    const taken = outbox.take(this.options.selfId, this.leaving, inFlight);
+    const delta = {...taken, at: this.options.clock.now()};
     const result = await client.call(
       (api, signal) => api.mesh.push.mutate(delta, {signal}),
       CALL_TIMEOUT_MS,
@@ -164,7 +175,8 @@
       outbox.reset();
       return;
     }
-    const {id, failureDomain, unknown} = result.value;
+    const {id, failureDomain, at, unknown} = result.value;
+    this.options.clock.observe(at);
     this.reached.set(id, {id, failureDomain, address: client.address});
     if (unknown.length > 0) outbox.reset();
   }
