--- a/packages/membership/src/delta_outbox.ts
+++ b/packages/membership/src/delta_outbox.ts
@@ -95,6 +95,13 @@
     );
   }
 
+  /** Forgets a backend server that is gone. */
+  forget(backendId: string): void {
+    this.pending.delete(backendId);
+    this.told.delete(backendId);
+    this.toldInFlight.delete(backendId);
+  }
+
   /** Forgets what the peer was told, after it lost a batch or restarted. */
   reset(): void {
     this.told.clear();
--- a/packages/membership/src/entry_mesh.ts
+++ b/packages/membership/src/entry_mesh.ts
@@ -7,6 +7,7 @@
   type HybridClock,
 } from '@vanillamux/shared';
 import type {Announcement} from '@vanillamux/protocol';
+import {BackendChangeKind} from './backend_change.js';
 import type {BackendInFlight} from './backend_in_flight.js';
 import type {BackendTable} from './backend_table.js';
 import type {Delta} from './delta.js';
@@ -61,6 +62,12 @@
     for (const peer of options.peers) {
       this.outboxes.set(peer, new DeltaOutbox());
     }
+    void options.table.changes().observe(({kind, announcement}) => {
+      if (kind !== BackendChangeKind.Lost) return;
+      for (const outbox of this.outboxes.values()) {
+        outbox.forget(announcement.id);
+      }
+    });
   }
 
   /** Starts the tasks, which end when `signal` aborts. */
--- a/packages/routing/src/in_flight_ledger.ts
+++ b/packages/routing/src/in_flight_ledger.ts
@@ -5,6 +5,8 @@
   readonly prefillByPriority: number[];
   requests: number;
   heldTokens: number;
+  /** Whether the account ends with its last request. */
+  isGone: boolean;
 }
 
 /** This host's requests on one backend server, for its peers. */
@@ -34,12 +36,18 @@
       prefillByPriority: new Array<number>(PRIORITY_LEVELS).fill(0),
       requests: 0,
       heldTokens: 0,
+      isGone: false,
     };
     this.loads.set(flight.backendId, load);
     load.requests++;
     load.heldTokens += flight.heldTokens;
     load.prefillByPriority[flight.priority]! += flight.prefillTokens;
-    return new FlightHandle(flight, load);
+    load.isGone = false;
+    return new FlightHandle(flight, load, () => {
+      if (load.isGone && load.requests === 0) {
+        this.loads.delete(flight.backendId);
+      }
+    });
   }
 
   /** This host's requests on every backend server that it has used. */
@@ -67,9 +75,12 @@
     return this.loads.get(backendId)?.prefillByPriority ?? [];
   }
 
-  /** Forgets a backend server that is gone and has nothing in flight. */
+  /** Forgets a backend server that is gone, once its last request has ended. */
   forget(backendId: string): void {
-    if (this.requestsOn(backendId) === 0) this.loads.delete(backendId);
+    const load = this.loads.get(backendId);
+    if (!load) return;
+    if (load.requests === 0) this.loads.delete(backendId);
+    else load.isGone = true;
   }
 }
 
@@ -81,6 +92,7 @@
   constructor(
     private readonly flight: InFlight,
     private readonly load: BackendLoad,
+    private readonly onEnd: () => void,
   ) {}
 
   /** The prompt is processed: the first token has come. */
@@ -98,5 +110,6 @@
     this.endPrefill();
     this.load.requests--;
     this.load.heldTokens -= this.flight.heldTokens;
+    this.onEnd();
   }
 }
