fix(record): record the decision that was carried out

Cause: found by reading: a request was decided before its admission, recorded, and decided again after it, so the candidates in the record were not always those of the decision that ran. Change: the first decision is carried out unless admission made the request wait; the completion records the candidates of the decision that ran, and explain prints them. Measured: a test compares the record with the backend server that answered; one decision a request less.

--- a/packages/cli/src/commands/explain_command.ts
+++ b/packages/cli/src/commands/explain_command.ts
@@ -46,12 +46,6 @@
     lines.push(
       `  decided by: rule ${entry.rule}, class ${entry.class}, declarations version ${entry.version}`,
     );
-    for (const candidate of entry.candidates ?? []) {
-      const {backend, estimateMs, queuedTokens, cachedTokens} = candidate;
-      lines.push(
-        `  candidate ${backend}: first token in about ${estimateMs} ms, ${queuedTokens} tokens queued, ${cachedTokens} cached`,
-      );
-    }
   } else {
     lines.push(
       `  ran: ${entry.ran} on ${entry.backend || 'no backend server'}, ${entry.attempts ?? 0} attempts, ${entry.durationMs} ms`,
@@ -62,6 +56,12 @@
       );
     }
   }
+  for (const candidate of entry.candidates ?? []) {
+    const {backend, estimateMs, queuedTokens, cachedTokens} = candidate;
+    lines.push(
+      `  candidate ${backend}: first token in about ${estimateMs} ms, ${queuedTokens} tokens queued, ${cachedTokens} cached`,
+    );
+  }
   if (entry.idempotencyKey) {
     lines.push(`  idempotency key: ${entry.idempotencyKey}`);
   }
--- a/packages/entry/src/chat_handler.ts
+++ b/packages/entry/src/chat_handler.ts
@@ -4,6 +4,7 @@
 import {
   ErrorCodes,
   fail,
+  monotonicMs,
   succeed,
   VmuxError,
   type Result,
@@ -24,6 +25,9 @@
 
 type ChatRequest = z.infer<typeof chatRequestSchema>;
 
+/** A wait for admission longer than this may have changed the best choice. */
+const DECISION_MAX_AGE_MS = 5;
+
 /** What a `ChatHandler` works with. */
 export interface ChatHandlerOptions {
   readonly declarations: DeclarationStore;
@@ -103,10 +107,16 @@
       return sendError(res, decision.error, ctx.requestId);
     }
     const cost = promptTokens + job.maxTokens;
+    const askedMs = monotonicMs();
     const permit = await desk.admit(ctx, cost, facts);
     if (!permit.ok) return sendError(res, permit.error, ctx.requestId);
+    const waitedMs = monotonicMs() - askedMs;
+    const used =
+      decision.ok && waitedMs > DECISION_MAX_AGE_MS
+        ? this.options.runner.decide(ctx, job)
+        : decision;
     const report: GenerationReport = {
-      backend: decision.ok ? decision.value.backend.id : '',
+      backend: used.ok ? used.value.backend.id : '',
       attempts: 0,
       answerTokens: 0,
       cachedTokens: 0,
@@ -121,26 +131,26 @@
     });
     const result = runsOnGang
       ? await this.options.gangs.run(ctx, job, answer, report)
-      : await this.runAdmitted(ctx, job, answer, report);
+      : await this.runDecided(ctx, job, used, answer, report);
     permit.value.release();
     const error = result.ok ? undefined : result.error;
-    desk.close(ctx, facts, {...report, error});
+    // The record shows the figures of the decision that was carried out.
+    const candidates = used.ok ? used.value.candidates : undefined;
+    desk.close(ctx, {...facts, candidates}, {...report, error});
     if (!error) answer.finish();
     else if (res.headersSent) answer.abort(error);
     else sendError(res, error, ctx.requestId);
   }
 
-  /** The wait for admission may have changed the best choice. */
-  private async runAdmitted(
+  private async runDecided(
     ctx: RequestContext,
     job: GenerationJob,
+    decision: Result<RoutingDecision>,
     answer: ChatAnswer,
     report: GenerationReport,
   ): Promise<Result<void>> {
-    const {runner} = this.options;
-    const decision = runner.decide(ctx, job);
     if (!decision.ok) return decision;
-    return runner.run(ctx, job, decision.value, answer, report);
+    return this.options.runner.run(ctx, job, decision.value, answer, report);
   }
 
   /** Refuses what cannot deliver its first token before the deadline. */
--- a/packages/fleet/__tests__/whole_path.test.ts
+++ b/packages/fleet/__tests__/whole_path.test.ts
@@ -191,6 +191,29 @@
     });
   }
 
+  it('records the figures of the decision that was carried out', async () => {
+    const outcome = await caller.chat({
+      apiKey: 'tartu-demo-key',
+      model: 'parcel-7b',
+      prompt: 'x'.repeat(400),
+      maxTokens: 4,
+    });
+    const {requestId} = outcome;
+    const recorded = await fleet.waitFor(
+      'the record',
+      RECORD_LIMIT_MS,
+      async () => {
+        const {entries} = await session.collectRecord({requestId});
+        return entries.some(({kind}) => kind === 'completed');
+      },
+    );
+    assert.ok(recorded.ok);
+    const {entries} = await session.collectRecord({requestId});
+    const completed = entries.find(({kind}) => kind === 'completed');
+    assert.equal(completed?.candidates?.[0]?.backend, outcome.backend);
+    assert.equal(completed?.backend, outcome.backend);
+  });
+
   it('records every admission and end, in chains that verify', async () => {
     const complete = await fleet.waitFor(
       'the record',
