--- a/packages/shared/__tests__/hybrid_clock.test.ts
+++ b/packages/shared/__tests__/hybrid_clock.test.ts
@@ -41,6 +41,12 @@
     );
   });
 
+  it('is not dragged along by a peer whose clock is far ahead', () => {
+    const clock = new HybridClock(() => 1_000);
+    clock.observe('2199-01-01T00:00:00.000Z~00000');
+    assert.equal(clock.now(), '1970-01-01T00:00:01.000Z~00000');
+  });
+
   it('ignores what is not a timestamp', () => {
     const clock = new HybridClock(() => 1_000);
     clock.observe('tomorrow');
--- a/packages/shared/src/hybrid_clock.ts
+++ b/packages/shared/src/hybrid_clock.ts
@@ -1,4 +1,6 @@
 const COUNTER_DIGITS = 5;
+/** A peer that is further ahead than this has a faulty clock. */
+const MAX_AHEAD_MS = 60_000;
 
 /**
  * A hybrid logical clock (Kulkarni et al., 2014). Timestamps are strings that
@@ -24,13 +26,17 @@
     return this.format();
   }
 
-  /** Advances the clock past a timestamp received from another process. */
+  /**
+   * Advances the clock past a timestamp received from another process, unless
+   * that is so far ahead that it would drag this host's record along.
+   */
   observe(timestamp: string): void {
     const [iso, counterText] = timestamp.split('~');
     const wall = Date.parse(iso ?? '');
     const counter = Number(counterText);
     if (!Number.isFinite(wall) || !Number.isInteger(counter)) return;
     if (wall < this.wallMs) return;
+    if (wall > this.readWallMs() + MAX_AHEAD_MS) return;
     this.counter =
       wall === this.wallMs ? Math.max(this.counter, counter) : counter;
     this.setWall(wall);
