test(control): an operator adds a replaced host back

Cause: adding a member by hand had no test. Change: a host whose identity was replaced by a standby is started again and added; it becomes the fourth voter.

--- a/packages/fleet/__tests__/standby.test.ts
+++ b/packages/fleet/__tests__/standby.test.ts
@@ -4,6 +4,7 @@
 import {join} from 'node:path';
 import {after, before, describe, it} from 'node:test';
 import type {OperatorSession} from '@vanillamux/cli';
+import {ControlClient} from '@vanillamux/control';
 import {Fleet, waitUntilServing} from '../src/index.js';
 
 const DECLARATIONS = 'examples/quickstart';
@@ -72,4 +73,32 @@
     });
     assert.ok(current.ok);
   });
+
+  it('takes a replaced host back when an operator adds it', async () => {
+    const [, replaced, killed] = fleet.control;
+    killed!.process.start();
+    replaced!.process.start();
+    const host = new ControlClient([replaced!.address]);
+    const started = await fleet.waitFor('a start', LIMIT_MS, async () => {
+      const formation = await host.callAny((api, signal) =>
+        api.group.formation.query(undefined, {signal}),
+      );
+      return formation.ok;
+    });
+    assert.ok(started.ok);
+    const formation = await host.callAny((api, signal) =>
+      api.group.formation.query(undefined, {signal}),
+    );
+    host.close();
+    assert.ok(formation.ok);
+    const added = await session.control.callLeader((api, signal) =>
+      api.group.add.mutate(formation.value.member, {signal}),
+    );
+    assert.ok(added.ok, added.ok ? '' : added.error.message);
+    const grown = await fleet.waitFor('four voters', LIMIT_MS, async () => {
+      const voters = await readVoters();
+      return voters.length === 4;
+    });
+    assert.ok(grown.ok, (await readVoters()).join());
+  });
 });
