refactor(cli): one place to collect backend servers, make rows and escape HTML

Cause: read over once more: three commands joined the entry hosts' lists of backend servers on their own, two made rows of declared items, and two pages escaped text, each with its own copy. Change: OperatorSession.collectBackends, toRow and shared escapeHtml serve all. Behaviour stays as it is.

--- a/packages/cli/src/commands/backends_command.ts
+++ b/packages/cli/src/commands/backends_command.ts
@@ -1,4 +1,3 @@
-import type {Announcement} from '@vanillamux/protocol';
 import type {CommandContext} from '../command_context.js';
 import {ExitCode} from '../exit_code.js';
 import {printRows} from '../print_rows.js';
@@ -8,15 +7,8 @@
   session,
   output,
 }: CommandContext): Promise<ExitCode> {
-  const answers = await session.callEntries<Announcement[]>((api, signal) =>
-    api.backends.query(undefined, {signal}),
-  );
-  const known = new Map<string, Announcement>();
-  for (const {result} of answers) {
-    if (!result.ok) continue;
-    for (const backend of result.value) known.set(backend.id, backend);
-  }
-  const rows = [...known.values()]
+  const backends = await session.collectBackends();
+  const rows = backends
     .sort((a, b) => (a.id < b.id ? -1 : 1))
     .map(backend => ({
       id: backend.id,
--- a/packages/cli/src/commands/get_command.ts
+++ b/packages/cli/src/commands/get_command.ts
@@ -1,8 +1,9 @@
 import type {CommandContext} from '../command_context.js';
 import {ExitCode} from '../exit_code.js';
 import {OutputFormat} from '../output_format.js';
-import {printRows, type Row} from '../print_rows.js';
+import {printRows} from '../print_rows.js';
 import {reportError} from '../report_error.js';
+import {toRow} from '../to_row.js';
 import {stringify} from 'yaml';
 
 /** Shows the declarations in force, or one list of them. */
@@ -32,12 +33,3 @@
   printRows(items.map(toRow), output);
   return ExitCode.Ok;
 }
-
-function toRow(item: object): Row {
-  return Object.fromEntries(
-    Object.entries(item).map(([name, value]) => [
-      name,
-      typeof value === 'object' ? JSON.stringify(value) : value,
-    ]),
-  ) as Row;
-}
--- a/packages/cli/src/load_rows.ts
+++ b/packages/cli/src/load_rows.ts
@@ -1,8 +1,8 @@
 import type {EntryStatus} from '@vanillamux/entry';
-import type {Announcement} from '@vanillamux/protocol';
 import {Subject, type QueryRow, type ShowQuery} from '@vanillamux/query';
 import {succeed, type Result} from '@vanillamux/shared';
 import type {OperatorSession} from './operator_session.js';
+import {toRow} from './to_row.js';
 
 const MAX_RECORD_ROWS = 10_000;
 
@@ -54,16 +54,8 @@
 }
 
 async function loadBackends(session: OperatorSession): Promise<QueryRow[]> {
-  const answers = await session.callEntries<Announcement[]>((api, signal) =>
-    api.backends.query(undefined, {signal}),
-  );
-  const known = new Map<string, Announcement>();
-  for (const {result} of answers) {
-    for (const backend of result.ok ? result.value : []) {
-      known.set(backend.id, backend);
-    }
-  }
-  return [...known.values()].map(backend => ({
+  const backends = await session.collectBackends();
+  return backends.map(backend => ({
     id: backend.id,
     kind: backend.service ?? backend.kind,
     domain: backend.failureDomain,
@@ -129,16 +121,7 @@
   );
   if (!current.ok) return current;
   const items: object[] = current.value.document[subject];
-  return succeed(
-    items.map(item =>
-      Object.fromEntries(
-        Object.entries(item).map(([name, value]) => [
-          name,
-          typeof value === 'object' ? JSON.stringify(value) : value,
-        ]),
-      ),
-    ),
-  );
+  return succeed(items.map(toRow));
 }
 
 async function loadVersions(
--- a/packages/cli/src/operator_session.ts
+++ b/packages/cli/src/operator_session.ts
@@ -4,6 +4,7 @@
 import {
   verifyChain,
   type ChainFault,
+  type Announcement,
   type RecordEntry,
 } from '@vanillamux/protocol';
 import type {Address, Result} from '@vanillamux/shared';
@@ -78,6 +79,20 @@
     return {chains: chains.size, entries: entries.length, faults, missing};
   }
 
+  /** The backend servers that the reachable entry hosts know, each once. */
+  async collectBackends(): Promise<Announcement[]> {
+    const answers = await this.callEntries<Announcement[]>((api, signal) =>
+      api.backends.query(undefined, {signal}),
+    );
+    const known = new Map<string, Announcement>();
+    for (const {result} of answers) {
+      for (const backend of result.ok ? result.value : []) {
+        known.set(backend.id, backend);
+      }
+    }
+    return [...known.values()];
+  }
+
   /** Calls every entry host. */
   async callEntries<T>(
     run: Parameters<RpcClient<EntryRouter>['call']>[0],
--- a/packages/cli/src/order_sender.ts
+++ b/packages/cli/src/order_sender.ts
@@ -51,12 +51,8 @@
   }
 
   private async find(id: string): Promise<Announcement | undefined> {
-    const answers = await this.session.callEntries<Announcement[]>(
-      (api, signal) => api.backends.query(undefined, {signal}),
-    );
-    return answers
-      .flatMap(({result}) => (result.ok ? result.value : []))
-      .find(backend => backend.id === id);
+    const backends = await this.session.collectBackends();
+    return backends.find(backend => backend.id === id);
   }
 
   /** Waits until no other holder can still have an order under way. */
--- a/packages/cli/src/render_timeline.ts
+++ b/packages/cli/src/render_timeline.ts
@@ -1,4 +1,4 @@
-import {EventKind, type TimelineEvent} from '@vanillamux/shared';
+import {escapeHtml, EventKind, type TimelineEvent} from '@vanillamux/shared';
 
 const WIDTH = 960;
 const LABEL_WIDTH = 130;
@@ -53,13 +53,13 @@
     LABEL_WIDTH + ((time - first) / span) * (WIDTH - LABEL_WIDTH - 10);
   const lanes = hosts.map((host, index) => {
     const y = index * LANE_HEIGHT + LANE_HEIGHT / 2;
-    return `<text x="0" y="${y + 5}">${escape(host)}</text><line x1="${LABEL_WIDTH}" x2="${WIDTH}" y1="${y}" y2="${y}" stroke="#ddd"/>`;
+    return `<text x="0" y="${y + 5}">${escapeHtml(host)}</text><line x1="${LABEL_WIDTH}" x2="${WIDTH}" y1="${y}" y2="${y}" stroke="#ddd"/>`;
   });
   const dots = events.map(event => {
     const y = hosts.indexOf(event.host) * LANE_HEIGHT + LANE_HEIGHT / 2;
     const x = xOf(toMilliseconds(event)).toFixed(1);
     const colour = COLOURS[event.kind] ?? DEFAULT_COLOUR;
-    return `<circle cx="${x}" cy="${y}" r="4" fill="${colour}" fill-opacity=".7"><title>${escape(`${event.at} ${event.kind} ${event.detail}`)}</title></circle>`;
+    return `<circle cx="${x}" cy="${y}" r="4" fill="${colour}" fill-opacity=".7"><title>${escapeHtml(`${event.at} ${event.kind} ${event.detail}`)}</title></circle>`;
   });
   const bottom = hosts.length * LANE_HEIGHT;
   const ticks = Array.from({length: TICKS}, (_, tick) => {
@@ -74,16 +74,9 @@
 function renderRow(event: TimelineEvent): string {
   const {at, host, failureDomain, kind, requestId = '', detail} = event;
   const cells = [at, `${host} (${failureDomain})`, kind, requestId, detail];
-  return `<tr>${cells.map(cell => `<td>${escape(cell)}`).join('')}</tr>`;
+  return `<tr>${cells.map(cell => `<td>${escapeHtml(cell)}`).join('')}</tr>`;
 }
 
 function toMilliseconds({at}: TimelineEvent): number {
   return Date.parse(at.split('~')[0] ?? '');
 }
-
-function escape(text: string): string {
-  return text
-    .replaceAll('&', '&amp;')
-    .replaceAll('<', '&lt;')
-    .replaceAll('"', '&quot;');
-}
--- a/packages/load/src/render_report.ts
+++ b/packages/load/src/render_report.ts
@@ -1,3 +1,4 @@
+import {escapeHtml} from '@vanillamux/shared';
 import type {LoadResult} from './load_result.js';
 
 const CHART_WIDTH = 640;
@@ -16,14 +17,14 @@
   );
   const refusals = Object.entries(errors);
   return `<!doctype html>
-<html lang="en"><meta charset="utf-8"><title>${escape(title)}</title>
+<html lang="en"><meta charset="utf-8"><title>${escapeHtml(title)}</title>
 <style>
 body{font:15px/1.5 sans-serif;margin:2em auto;max-width:46em;color:#222}
 table{border-collapse:collapse}td,th{padding:.2em .8em;text-align:right}
 th:first-child,td:first-child{text-align:left}tr{border-bottom:1px solid #ddd}
 rect{fill:#3b6ea5}
 </style>
-<h1>${escape(title)}</h1>
+<h1>${escapeHtml(title)}</h1>
 <p>${result.completed} of ${result.sent} requests completed in
 ${result.durationSeconds} s; ${result.goodputTokensPerSecond} prompt tokens a
 second.</p>
@@ -54,14 +55,7 @@
     const y = index * BAR_HEIGHT;
     const width = Math.round((value / most) * room);
     const textY = y + BAR_HEIGHT - 7;
-    return `<text x="0" y="${textY}">${escape(label)}</text><rect x="${LABEL_WIDTH}" y="${y + 3}" width="${width}" height="${BAR_HEIGHT - 6}"/><text x="${LABEL_WIDTH + width + 6}" y="${textY}">${Math.round(value)}</text>`;
+    return `<text x="0" y="${textY}">${escapeHtml(label)}</text><rect x="${LABEL_WIDTH}" y="${y + 3}" width="${width}" height="${BAR_HEIGHT - 6}"/><text x="${LABEL_WIDTH + width + 6}" y="${textY}">${Math.round(value)}</text>`;
   });
   return `<svg width="${CHART_WIDTH}" height="${items.length * BAR_HEIGHT}">${bars.join('')}</svg>`;
 }
-
-function escape(text: string): string {
-  return text
-    .replaceAll('&', '&amp;')
-    .replaceAll('<', '&lt;')
-    .replaceAll('"', '&quot;');
-}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -5,6 +5,7 @@
 export {Deferred} from './deferred.js';
 export {ErrorCodes} from './error_codes.js';
 export {ERROR_DESCRIPTORS, type ErrorDescriptor} from './error_descriptors.js';
+export {escapeHtml} from './escape_html.js';
 export {EventBus} from './event_bus.js';
 export {EventKind} from './event_kind.js';
 export {fail} from './fail.js';
