fix(settings): read the settings again on SIGHUP instead of ending

Cause: no process listened for SIGHUP, so the default action ended it.

Ruled out: a crash in the code; the exit code was 129 (128 + SIGHUP).

Change: SettingsWatcher reads the file on SIGHUP and when its time changes; invalid settings are reported and change nothing. Gateways take new seeds.

--- /dev/null
+++ b/packages/fleet/__tests__/signals.test.ts
@@ -0,0 +1,45 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import type {OperatorSession} from '@vanillamux/cli';
+import {Fleet, waitUntilServing} from '../src/index.js';
+
+const DECLARATIONS = 'examples/quickstart';
+const LIMIT_MS = 10_000;
+
+describe('processes that receive SIGHUP', () => {
+  let fleet: Fleet;
+  let session: OperatorSession;
+
+  before(async () => {
+    fleet = await Fleet.create({
+      folder: mkdtempSync(join(tmpdir(), 'vmux-signals-')),
+      failureDomains: ['fd-a', 'fd-b', 'fd-c'],
+      entrySettings: {drainNoticeMs: 0},
+    });
+    fleet.start();
+    session = fleet.openSession();
+    const serving = await waitUntilServing(fleet, session, DECLARATIONS);
+    assert.ok(serving.ok, serving.ok ? '' : serving.error.message);
+  });
+
+  after(async () => {
+    session.close();
+    await fleet.stop();
+  });
+
+  it('go on serving', async () => {
+    const {process} = fleet.control[0]!;
+    process.signal('SIGHUP');
+    const answered = await fleet.waitFor('an answer', LIMIT_MS, async () => {
+      const answer = await session.control.callLeader((api, signal) =>
+        api.declarations.current.query(undefined, {signal}),
+      );
+      return answer.ok;
+    });
+    assert.ok(answered.ok);
+    assert.ok(process.isRunning, 'the process ended on SIGHUP');
+  });
+});
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -16,12 +16,21 @@
 export class ControlLinks {
   private readonly links = new Map<string, ControlLink>();
   private readonly stopping = new AbortController();
+  private seeds: readonly Address[];
 
-  constructor(private readonly options: ControlLinksOptions) {}
+  constructor(private readonly options: ControlLinksOptions) {
+    this.seeds = options.seeds;
+  }
 
   /** Starts the links to the seeds. */
   start(): void {
-    for (const seed of this.options.seeds) this.add(seed);
+    for (const seed of this.seeds) this.add(seed);
+  }
+
+  /** Replaces the seeds; links to present members stay. */
+  reseed(seeds: readonly Address[]): void {
+    this.seeds = seeds;
+    this.start();
   }
 
   /** Closes every link. */
@@ -34,7 +43,7 @@
   private follow(members: readonly Address[]): void {
     for (const member of members) this.add(member);
     const kept = new Set(
-      [...members, ...this.options.seeds].map(formatAddress),
+      [...members, ...this.seeds].map(formatAddress),
     );
     for (const [key, link] of this.links) {
       if (kept.has(key)) continue;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -70,7 +70,7 @@
     this.handler = new RequestHandler(this.createParts());
     this.links = new ControlLinks({
       entry: settings.id,
-      seeds: settings.seeds.map(({host}) => ({host, port: settings.peerPort})),
+      seeds: controlAddresses(settings),
       listener: this,
     });
     this.clients = this.createClientServer();
@@ -110,6 +110,11 @@
     for (const probe of this.probes) probe.close();
   }
 
+  /** Takes changed seeds; everything else needs a restart. */
+  reconfigure(settings: GatewaySettings): void {
+    this.links.reseed(controlAddresses(settings));
+  }
+
   get version(): number {
     return this.config.version;
   }
@@ -181,3 +186,7 @@
     return succeed(undefined);
   }
 }
+
+function controlAddresses({seeds, peerPort}: GatewaySettings): Address[] {
+  return seeds.map(({host}) => ({host, port: peerPort}));
+}
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -26,6 +26,10 @@
 export {runBinary, type BinaryOptions, type Stoppable} from './run_binary.js';
 export {RunState} from './run_state.js';
 export {SettingsError, type SettingsFault} from './settings_error.js';
+export {
+  SettingsWatcher,
+  type SettingsWatcherOptions,
+} from './settings_watcher.js';
 export {sleep} from './sleep.js';
 export {succeed} from './succeed.js';
 export {Timeline, type TimelineOptions} from './timeline.js';
--- a/packages/shared/src/run_binary.ts
+++ b/packages/shared/src/run_binary.ts
@@ -1,11 +1,13 @@
 import {cac} from 'cac';
 import type {z} from 'zod';
 import {configureLogging} from './configure_logging.js';
+import {Deferred} from './deferred.js';
 import {getLogger} from './get_logger.js';
 import {loadSettings} from './load_settings.js';
 import type {LogFormat} from './log_format.js';
 import type {LogLevel} from './log_level.js';
 import type {Result} from './result.js';
+import {SettingsWatcher} from './settings_watcher.js';
 import {VERSION} from './version.js';
 import {waitForSignal} from './wait_for_signal.js';
 
@@ -20,8 +22,10 @@
 }
 
 /** A long-running part that ends gracefully. */
-export interface Stoppable {
+export interface Stoppable<S = unknown> {
   stop(): Promise<void>;
+  /** Takes settings that have changed; what cannot change at run time stays. */
+  reconfigure?(settings: S): void;
 }
 
 /** Options of `runBinary`. */
@@ -32,7 +36,7 @@
   /** Settings file that is read when no other is given. */
   readonly defaultConfig: string;
   readonly schema: z.ZodType<S, z.ZodTypeDef, unknown>;
-  readonly start: (settings: S) => Promise<Result<Stoppable>>;
+  readonly start: (settings: S) => Promise<Result<Stoppable<S>>>;
 }
 
 interface Flags {
@@ -43,7 +47,7 @@
 
 /**
  * Runs a long-running binary: reads its settings, starts it and stops it on
- * SIGTERM or SIGINT. Exit codes: 0 stopped, 2 bad settings, 3 cannot start.
+ * SIGTERM or SIGINT. SIGHUP reads the settings again. Exit codes: 0 stopped, 2 bad settings, 3 cannot start.
  */
 export function runBinary<S extends CommonSettings>(
   options: BinaryOptions<S>,
@@ -78,12 +82,26 @@
     host: settings.id,
   });
   const signal = waitForSignal();
+  // Without a listener, SIGHUP would end the process from its first moment on.
+  const reload = new Deferred<() => void>();
+  process.on('SIGHUP', () => void reload.promise.then(run => run()));
   const started = await options.start(settings);
   if (!started.ok) {
     getLogger('start').error(started.error.message);
     process.exit(EXIT_START_FAILED);
   }
-  await signal;
+  const watcher = new SettingsWatcher({
+    file: flags.config,
+    schema: options.schema,
+    onChange: changed => started.value.reconfigure?.(changed),
+  });
+  reload.resolve(() => void watcher.reload());
+  const watching = new AbortController();
+  void watcher.run(watching.signal);
+  getLogger('start').info('Started.', {version: VERSION});
+  const name = await signal;
+  getLogger('start').info('Stopping.', {signal: name});
+  watching.abort();
   await started.value.stop();
   process.exit(0);
 }
