feat(gateway): placement by expected credit loss, shared views, kept memory

Placing prompts beyond one memory without reserving it filled the ledgers of all hosts with work that was rejected.

Change: EnginePlacement weighs for 1 to 17 engines what the request and the streams already there are expected to lose; PeerNotices tells placements to the other entry hosts as datagrams, one relay for each other failure domain; MemoryKeeper reserves memory on several engines, all or none, on a lease of 3.5 s that is renewed and given back.

--- a/packages/control/src/entry_feed.ts
+++ b/packages/control/src/entry_feed.ts
@@ -1,5 +1,11 @@
-import type {Address} from '@vanillamux/shared';
-import {Deferred, monotonicMs, sleep} from '@vanillamux/shared';
+import type {EntryPeer} from '@vanillamux/protocol';
+import {
+  Deferred,
+  formatAddress,
+  monotonicMs,
+  sleep,
+  type Address,
+} from '@vanillamux/shared';
 import type {BackendRegistry, RegistryNews} from './backend_registry.js';
 import type {ControlHost} from './control_host.js';
 
@@ -7,11 +13,13 @@
 const SUBSCRIBER_TTL_MS = 10_000;
 /** A host that has heard the leader within this time is current. */
 const CURRENT_MS = 1_000;
+const MAX_FIRST_VERSION = 1_000_000_000;
 
 /** What an entry host has, and how long it waits for more. */
 export interface FeedRequest {
-  /** Name of the entry host. */
-  readonly entry: string;
+  readonly entry: EntryPeer;
+  /** Number of the list of entry hosts that it has. */
+  readonly peersVersion: number;
   readonly registryId: string;
   readonly position: number;
   /** Version of the published document that it has; -1 for none. */
@@ -27,13 +35,21 @@
   readonly isCurrent: boolean;
   /** Control hosts that are members of the group. */
   readonly control: readonly Address[];
-  /** Number of entry hosts that ask this control host. */
-  readonly entries: number;
+  readonly peersVersion: number;
+  /** Entry hosts that ask this control host, unless the list is unchanged. */
+  readonly peers?: readonly EntryPeer[];
+}
+
+interface Subscriber {
+  readonly peer: EntryPeer;
+  readonly seenMs: number;
 }
 
 /** Answers entry hosts as soon as there is something new to them. */
 export class EntryFeed {
-  private readonly subscribers = new Map<string, number>();
+  private readonly subscribers = new Map<string, Subscriber>();
+  /** Starts anywhere, so that a restarted host's numbers are not taken for it. */
+  private peersVersion = Math.floor(Math.random() * MAX_FIRST_VERSION);
   private nextVersion = new Deferred<void>();
 
   constructor(
@@ -48,7 +64,7 @@
 
   /** Waits until something is new, or for `waitMs`. */
   async wait(request: FeedRequest): Promise<FeedNews> {
-    this.subscribers.set(request.entry, monotonicMs());
+    this.subscribe(request.entry);
     if (!this.hasNews(request) && request.waitMs > 0) {
       const timer = new AbortController();
       await Promise.race([
@@ -63,7 +79,7 @@
       version: this.host.machine.published.version,
       isCurrent: this.host.node.status().leaderSilentMs < CURRENT_MS,
       control: this.host.node.status().members.map(({address}) => address),
-      entries: this.countSubscribers(),
+      ...this.peersSince(request.peersVersion),
     };
   }
 
@@ -76,11 +92,24 @@
     );
   }
 
-  private countSubscribers(): number {
+  private subscribe(peer: EntryPeer): void {
+    const before = this.subscribers.get(peer.id)?.peer;
+    const isSame =
+      before && formatAddress(before.address) === formatAddress(peer.address);
+    if (!isSame) this.peersVersion++;
+    this.subscribers.set(peer.id, {peer, seenMs: monotonicMs()});
+  }
+
+  private peersSince(known: number): Pick<FeedNews, 'peersVersion' | 'peers'> {
     const oldestMs = monotonicMs() - SUBSCRIBER_TTL_MS;
-    for (const [entry, seenMs] of this.subscribers) {
-      if (seenMs < oldestMs) this.subscribers.delete(entry);
+    for (const [id, {seenMs}] of this.subscribers) {
+      if (seenMs >= oldestMs) continue;
+      this.subscribers.delete(id);
+      this.peersVersion++;
     }
-    return this.subscribers.size;
+    const {peersVersion} = this;
+    if (peersVersion === known) return {peersVersion};
+    const peers = [...this.subscribers.values()].map(({peer}) => peer);
+    return {peersVersion, peers};
   }
 }
--- a/packages/control/src/feed_router.ts
+++ b/packages/control/src/feed_router.ts
@@ -1,3 +1,4 @@
+import {entryPeerSchema} from '@vanillamux/protocol';
 import {rpcBuilder} from '@vanillamux/rpc';
 import {z} from 'zod';
 import type {ControlHost} from './control_host.js';
@@ -6,7 +7,8 @@
 const MAX_WAIT_MS = 30_000;
 
 const requestSchema = z.object({
-  entry: z.string(),
+  entry: entryPeerSchema,
+  peersVersion: z.number().int(),
   registryId: z.string(),
   position: z.number().int().min(0),
   version: z.number().int(),
--- a/packages/gateway/src/dialect/attempt_facts.ts
+++ b/packages/gateway/src/dialect/attempt_facts.ts
@@ -1,4 +1,4 @@
-import type {Address} from '@vanillamux/shared';
+import type {EngineHelper} from './engine_helper.js';
 
 /** What a backend server is told with a request. */
 export interface AttemptFacts {
@@ -10,8 +10,11 @@
   readonly workspace?: string;
   /** Id of the last event that the client has. */
   readonly lastEventId?: string;
-  /** Engines that process a part of the prompt each. */
-  readonly helpers: readonly Address[];
+  /**
+   * Engines that process a part of the prompt each. The answering engine is
+   * among them, and the first, when memory is kept for the request on it.
+   */
+  readonly helpers: readonly EngineHelper[];
   /** Urgency at the engine; 0 is the most urgent. */
   readonly priority?: number;
 }
--- a/packages/gateway/src/dialect/dialect.ts
+++ b/packages/gateway/src/dialect/dialect.ts
@@ -3,6 +3,8 @@
 import type {GatewayConfig} from '../config/gateway_config.js';
 import type {AnswerFacts} from './answer_facts.js';
 import type {AttemptFacts} from './attempt_facts.js';
+import type {MemoryOrder} from './memory_order.js';
+import type {OrderMessage} from './order_message.js';
 import type {RequestFacts} from './request_facts.js';
 
 /**
@@ -26,6 +28,8 @@
     headers: IncomingHttpHeaders,
     attemptId: string,
   ): AnswerFacts;
+  /** Writes an order that an engine keeps memory, or gives it back. */
+  abstract writeMemoryOrder(order: MemoryOrder): OrderMessage;
   /** Headers that identify the request in an answer made by the gateway. */
   abstract writeAnswer(attemptId: string): Record<string, string>;
 }
--- /dev/null
+++ b/packages/gateway/src/dialect/order_message.ts
@@ -0,0 +1,7 @@
+/** An order as it is sent to an engine. */
+export interface OrderMessage {
+  readonly path: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: string;
+}
--- a/packages/gateway/src/fleet/work_ledger.ts
+++ b/packages/gateway/src/fleet/work_ledger.ts
@@ -1,17 +1,17 @@
-/** A part of a prompt or a stream that an engine works on. */
-export interface WorkItem {
-  /** Time that the engine needs for the prompt tokens, undisturbed. */
-  readonly prefillMs: number;
-  /** Context that the engine holds in memory until the request has ended. */
-  readonly tokens: number;
-  /** Whether the engine decodes the answer once the prompt is processed. */
-  readonly decodes: boolean;
-}
+import type {WorkItem} from './work_item.js';
+
+/** Factor on the expected duration of work that another host has placed. */
+const FOREIGN_SLACK = 1.3;
+const FOREIGN_SLACK_MS = 100;
 
-interface Entry extends WorkItem {
+/** Work on an engine together with where it stands. */
+export interface LedgerEntry extends WorkItem {
+  readonly placedMs: number;
   /** When the prompt is expected to be processed. */
   prefillEndMs: number;
   prefillDone: boolean;
+  /** When it is forgotten, for work of which no end will be heard. */
+  readonly expiresMs: number;
 }
 
 /**
@@ -19,17 +19,19 @@
  * processing that is still ahead. Engines process prompts in turn.
  */
 export class WorkLedger {
-  private readonly items = new Map<string, Entry>();
+  private readonly items = new Map<string, LedgerEntry>();
   private busyUntilMs = 0;
 
-  /** Notes work that was placed. */
+  /** Notes work of this host; its end will be noted too. */
   add(id: string, item: WorkItem, nowMs: number): void {
-    this.busyUntilMs = Math.max(this.busyUntilMs, nowMs) + item.prefillMs;
-    this.items.set(id, {
-      ...item,
-      prefillEndMs: this.busyUntilMs,
-      prefillDone: false,
-    });
+    this.store(id, item, nowMs, Infinity);
+  }
+
+  /** Notes work of another host, which is forgotten at its expected end. */
+  addForeign(id: string, item: WorkItem, nowMs: number): void {
+    const durationMs =
+      this.backlogMs(nowMs) + item.prefillMs + item.decodeMs * FOREIGN_SLACK;
+    this.store(id, item, nowMs, nowMs + durationMs + FOREIGN_SLACK_MS);
   }
 
   /** The engine has processed the prompt; the answer has begun. */
@@ -53,27 +55,34 @@
     return Math.max(0, this.busyUntilMs - nowMs);
   }
 
-  /** Number of sequences that decode, or will. */
-  get decoding(): number {
-    let count = 0;
-    for (const {decodes} of this.items.values()) if (decodes) count++;
-    return count;
-  }
-
-  /** Number of items that have not ended. */
-  get size(): number {
-    return this.items.size;
+  /** Work that has not ended. */
+  entries(nowMs: number): LedgerEntry[] {
+    const live: LedgerEntry[] = [];
+    for (const [id, item] of this.items) {
+      if (item.expiresMs <= nowMs) this.items.delete(id);
+      else live.push(item);
+    }
+    return live;
   }
 
-  /** Context that the items hold in memory. */
-  get tokens(): number {
-    let sum = 0;
-    for (const {tokens} of this.items.values()) sum += tokens;
-    return sum;
+  private store(
+    id: string,
+    item: WorkItem,
+    nowMs: number,
+    expiresMs: number,
+  ): void {
+    this.busyUntilMs = Math.max(this.busyUntilMs, nowMs) + item.prefillMs;
+    this.items.set(id, {
+      ...item,
+      placedMs: nowMs,
+      prefillEndMs: this.busyUntilMs,
+      prefillDone: false,
+      expiresMs,
+    });
   }
 
   /** Gives back time that was expected but is not needed any more. */
-  private release(item: Entry, nowMs: number): void {
+  private release(item: LedgerEntry, nowMs: number): void {
     const unusedMs = Math.min(item.prefillEndMs - nowMs, item.prefillMs);
     if (unusedMs <= 0) return;
     this.busyUntilMs -= unusedMs;
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -1,4 +1,5 @@
 import type {ControlRouter, FeedNews} from '@vanillamux/control';
+import type {EntryPeer} from '@vanillamux/protocol';
 import {RpcClient} from '@vanillamux/rpc';
 import {
   formatAddress,
@@ -19,7 +20,8 @@
 
 /** Options of a `ControlLink`. */
 export interface ControlLinkOptions {
-  readonly entry: string;
+  /** This host. */
+  readonly entry: EntryPeer;
   readonly address: Address;
   readonly listener: LinkListener;
   /** Takes the members of the group that a current control host names. */
@@ -32,11 +34,12 @@
   private readonly stopping = new AbortController();
   private registryId = '';
   private position = 0;
+  private peersVersion = -1;
   private isUp = false;
 
   constructor(private readonly options: ControlLinkOptions) {
     const {address, entry} = options;
-    this.client = new RpcClient<ControlRouter>({address, from: entry});
+    this.client = new RpcClient<ControlRouter>({address, from: entry.id});
   }
 
   /** Asks until the link is closed. */
@@ -56,10 +59,10 @@
 
   private async askOnce(): Promise<boolean> {
     const {entry, listener} = this.options;
-    const {registryId, position} = this;
+    const {registryId, position, peersVersion} = this;
     // The first call returns at once, to learn what the host already has.
     const waitMs = this.isUp ? WAIT_MS : 0;
-    const request = {entry, registryId, position, waitMs};
+    const request = {entry, registryId, position, peersVersion, waitMs};
     const result = await this.client.call(
       (api, signal) =>
         api.feed.wait.query({...request, version: listener.version}, {signal}),
@@ -76,6 +79,7 @@
     const {listener} = this.options;
     this.registryId = news.registryId;
     this.position = news.position;
+    this.peersVersion = news.peersVersion;
     listener.onReports(news.reports);
     if (news.version > listener.version) await this.fetchDocument();
     // Without this pause an unreadable document would be asked for in a loop.
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -1,4 +1,5 @@
 import {formatAddress, getLogger, type Address} from '@vanillamux/shared';
+import type {EntryPeer} from '@vanillamux/protocol';
 import {ControlLink, type ControlLinkOptions} from './control_link.js';
 import type {LinkListener} from './link_listener.js';
 
@@ -6,8 +7,8 @@
 
 /** Options of `ControlLinks`. */
 export interface ControlLinksOptions {
-  /** Name of this host. */
-  readonly entry: string;
+  /** This host. */
+  readonly entry: EntryPeer;
   readonly seeds: readonly Address[];
   readonly listener: LinkListener;
 }
@@ -42,9 +43,7 @@
   /** Follows the members that a current control host names. */
   private follow(members: readonly Address[]): void {
     for (const member of members) this.add(member);
-    const kept = new Set(
-      [...members, ...this.seeds].map(formatAddress),
-    );
+    const kept = new Set([...members, ...this.seeds].map(formatAddress));
     for (const [key, link] of this.links) {
       if (kept.has(key)) continue;
       log.info('Left a control host that is no member any more.', {host: key});
--- a/packages/gateway/src/link/link_listener.ts
+++ b/packages/gateway/src/link/link_listener.ts
@@ -1,4 +1,8 @@
-import type {Presence, PublishedDocument} from '@vanillamux/protocol';
+import type {
+  EntryPeer,
+  Presence,
+  PublishedDocument,
+} from '@vanillamux/protocol';
 
 /** Takes what the control hosts say. */
 export abstract class LinkListener {
@@ -8,12 +12,12 @@
   abstract onDocument(document: PublishedDocument): void;
   /**
    * A control host has answered. `isCurrent` says whether it follows a leader
-   * with a quorum; `version` is that of its document, `entries` the number of
-   * entry hosts that it knows.
+   * with a quorum; `version` is that of its document, `peers` the entry hosts
+   * that it knows, unless they are the same as before.
    */
   abstract onContact(contact: {
     readonly isCurrent: boolean;
     readonly version: number;
-    readonly entries: number;
+    readonly peers?: readonly EntryPeer[];
   }): void;
 }
--- /dev/null
+++ b/packages/gateway/src/peers/placement_notice.ts
@@ -0,0 +1,5 @@
+import type {z} from 'zod';
+import type {placementNoticeSchema} from './placement_notice_schema.js';
+
+/** Work that an entry host has placed, as it tells the others. */
+export type PlacementNotice = z.infer<typeof placementNoticeSchema>;
--- /dev/null
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -0,0 +1,27 @@
+import {z} from 'zod';
+
+const amount = z.number().min(0);
+
+/** Backend server, incarnation, and the fields of `WorkItem` in turn. */
+const placedSchema = z.tuple([
+  z.string(),
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+  amount,
+]);
+
+/**
+ * Work that an entry host has placed, as it tells the others. Without any
+ * placed work it says that the work has ended early.
+ */
+export const placementNoticeSchema = z.object({
+  from: z.string(),
+  work: z.string(),
+  /** Whether the receiver tells the hosts of its failure domain. */
+  relay: z.boolean(),
+  placed: z.array(placedSchema),
+});
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -10,5 +10,5 @@
 
 /** A decision for one backend server alone. */
 export function placeAlone(backend: Backend): PlacementDecision {
-  return {backend, helpers: [], work: []};
+  return {backend, helpers: [], memory: [], work: []};
 }
--- a/packages/gateway/src/placement/placement_request.ts
+++ b/packages/gateway/src/placement/placement_request.ts
@@ -11,4 +11,6 @@
   /** Backend servers that may take the request, none of them tried before. */
   readonly candidates: readonly Backend[];
   readonly nowMs: number;
+  /** Time since the request arrived. */
+  readonly waitedMs: number;
 }
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -6,7 +6,9 @@
 import type {ExchangeRequest} from '../connection/exchange_request.js';
 import type {AnswerFacts} from '../dialect/answer_facts.js';
 import {AnswerVerdict} from '../dialect/answer_verdict.js';
+import type {EngineHelper} from '../dialect/engine_helper.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
+import type {HeldMemory} from '../memory/held_memory.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptEnd} from './attempt_end.js';
 import type {AttemptResult} from './attempt_result.js';
@@ -22,6 +24,10 @@
   readonly decision: PlacementDecision;
   /** Id of the last event that the client has. */
   readonly lastEventId?: string;
+  /** Names this attempt among all work of the deployment. */
+  readonly workId: string;
+  /** Memory that engines keep for the request, the answering one first. */
+  readonly held: readonly HeldMemory[];
   /** Time to the head of the answer after which it is given up. */
   readonly headTimeoutMs: number;
 }
@@ -49,7 +55,10 @@
     this.request.signal.addEventListener('abort', onAbort, {once: true});
     this.beginWork();
     try {
-      return await this.follow(exchange);
+      const result = await this.follow(exchange);
+      const isWhole = result.end === AttemptEnd.Delivered;
+      if (!isWhole) this.parts.notices.tellEnd(this.workId);
+      return result;
     } finally {
       this.request.signal.removeEventListener('abort', onAbort);
       exchange.cancel('attempt ended');
@@ -108,12 +117,25 @@
   }
 
   private get workId(): string {
-    return this.request.facts.attemptId;
+    return this.options.workId;
+  }
+
+  /** Engines that hold memory for the request come first, in their order. */
+  private helpers(): EngineHelper[] {
+    const {decision, options} = this;
+    const holders = options.held.map(({backend, ticket}) => ({
+      address: backend.presence.address,
+      ticket,
+    }));
+    const others = decision.helpers
+      .filter(helper => !options.held.some(({backend}) => backend === helper))
+      .map(({presence}) => ({address: presence.address}));
+    return [...holders, ...others];
   }
 
   private send(): Exchange {
     const {request, decision, parts, options} = this;
-    const {backend, helpers} = decision;
+    const {backend} = decision;
     const remainingMs = Math.max(
       1,
       Math.floor(request.deadlineMs - monotonicMs()),
@@ -127,7 +149,7 @@
         remainingMs,
         workspace: request.workspace,
         lastEventId: options.lastEventId,
-        helpers: helpers.map(({presence}) => presence.address),
+        helpers: this.helpers(),
       }),
       body: body.length > 0 ? body : undefined,
     };
@@ -140,6 +162,7 @@
     for (const {backend, item} of this.decision.work) {
       backend.work.add(this.workId, item, monotonicMs());
     }
+    this.parts.notices.tell(this.workId, this.decision.work);
   }
 
   private endWork(): void {
--- a/packages/gateway/src/request/gateway_parts.ts
+++ b/packages/gateway/src/request/gateway_parts.ts
@@ -2,6 +2,8 @@
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {ConfigStore} from '../link/config_store.js';
+import type {MemoryKeeper} from '../memory/memory_keeper.js';
+import type {PeerNotices} from '../peers/peer_notices.js';
 import type {Placements} from '../placement/placements.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import type {SharedRetryBudget} from './shared_retry_budget.js';
@@ -14,6 +16,8 @@
   readonly connections: ConnectionPools;
   readonly placements: Placements;
   readonly retries: SharedRetryBudget;
+  readonly memory: MemoryKeeper;
+  readonly notices: PeerNotices;
   readonly metrics: GatewayMetrics;
   /** Whether the host is about to stop. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -1,6 +1,7 @@
 import {getLogger, monotonicMs, sleep} from '@vanillamux/shared';
 import {RepeatRule} from '../config/repeat_rule.js';
 import type {Backend} from '../fleet/backend.js';
+import type {HeldMemory} from '../memory/held_memory.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AbortReason} from './abort_reason.js';
 import {AnswerWriter} from './answer_writer.js';
@@ -33,6 +34,7 @@
 const MIN_FIRST_EVENT_TIMEOUT_MS = 1_500;
 const FIRST_EVENT_PATIENCE = 3;
 const RETRY_AFTER_MS = 400;
+const LOSS_DIGITS = 3;
 
 const log = getLogger('request');
 
@@ -84,9 +86,14 @@
     const calm = untried.filter(({failures}) => !failures.isPaused(nowMs));
     const candidates = calm.length > 0 ? calm : untried;
     if (candidates.length === 0) return undefined;
-    return parts.placements
-      .for(service)
-      .place({service, route, facts, candidates, nowMs});
+    return parts.placements.for(service).place({
+      service,
+      route,
+      facts,
+      candidates,
+      nowMs,
+      waitedMs: nowMs - request.startedMs,
+    });
   }
 
   /**
@@ -117,10 +124,41 @@
   }
 
   private async attempt(decision: PlacementDecision): Promise<AttemptResult> {
-    const {route} = this.request;
     this.sends++;
     this.tried.add(decision.backend);
+    this.logPlacement(decision);
+    const held = await this.hold(decision);
+    if (!held) {
+      this.rejections++;
+      return {end: AttemptEnd.NotSent, reason: 'no memory for the context'};
+    }
+    const finished = new AbortController();
+    if (held.length > 0) void this.parts.memory.keep(held, finished.signal);
+    const result = await this.send(decision, held);
+    finished.abort();
+    const mayHaveRun =
+      result.end !== AttemptEnd.NotSent && result.end !== AttemptEnd.NotRun;
+    if (mayHaveRun) this.runs++;
+    else this.rejections++;
+    if (!mayHaveRun) await sleep(RETRY_DELAY_MS, this.request.signal);
+    return result;
+  }
+
+  /** Reserves the memory that the decision asks for. */
+  private async hold({
+    memory,
+  }: PlacementDecision): Promise<HeldMemory[] | undefined> {
+    return memory.length === 0 ? [] : this.parts.memory.reserve(memory);
+  }
+
+  private async send(
+    decision: PlacementDecision,
+    held: readonly HeldMemory[],
+  ): Promise<AttemptResult> {
+    const {route, facts} = this.request;
     const options: AttemptOptions = {
+      workId: `${facts.attemptId}/${this.sends}`,
+      held,
       parts: this.parts,
       request: this.request,
       decision,
@@ -135,13 +173,7 @@
           pauseTimeoutMs: this.pauseTimeoutMs(),
         })
       : new WholeAttempt(options, this.writer);
-    const result = await attempt.run();
-    const mayHaveRun =
-      result.end !== AttemptEnd.NotSent && result.end !== AttemptEnd.NotRun;
-    if (mayHaveRun) this.runs++;
-    else this.rejections++;
-    if (!mayHaveRun) await sleep(RETRY_DELAY_MS, this.request.signal);
-    return result;
+    return attempt.run();
   }
 
   /** Whether the request may be sent to another backend server. */
@@ -231,6 +263,22 @@
     });
   }
 
+  private logPlacement({backend, helpers, figures}: PlacementDecision): void {
+    if (!figures) return;
+    const {facts} = this.request;
+    log.info('Placed a request.', {
+      request: facts.attemptId,
+      backend: backend.presence.id,
+      engines: helpers.length + 1,
+      promptTokens: facts.promptTokens,
+      answerTokens: facts.answerTokens,
+      partMs: Math.round(figures.partMs),
+      firstEventMs: Math.round(figures.firstEventMs),
+      loss: Number(figures.loss.toFixed(LOSS_DIGITS)),
+      backlogMs: Math.round(backend.work.backlogMs(monotonicMs())),
+    });
+  }
+
   private logFailure(
     decision: PlacementDecision,
     {end, reason}: AttemptResult,
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,5 +1,9 @@
 import {createServer, type Server} from 'node:http';
-import type {Presence, PublishedDocument} from '@vanillamux/protocol';
+import type {
+  EntryPeer,
+  Presence,
+  PublishedDocument,
+} from '@vanillamux/protocol';
 import {
   getLogger,
   listen,
@@ -15,7 +19,9 @@
 import {ConfigStore} from '../link/config_store.js';
 import {ControlLinks} from '../link/control_links.js';
 import type {LinkListener} from '../link/link_listener.js';
+import {MemoryKeeper} from '../memory/memory_keeper.js';
 import {Placements} from '../placement/placements.js';
+import {PeerNotices} from '../peers/peer_notices.js';
 import type {GatewayParts} from '../request/gateway_parts.js';
 import {RequestHandler} from '../request/request_handler.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
@@ -55,6 +61,7 @@
   private readonly readiness: Readiness;
   private readonly handler: RequestHandler;
   private readonly links: ControlLinks;
+  private readonly notices: PeerNotices;
   private readonly clients: Server;
   private readonly probes: Server[] = [];
   private readonly metrics = new GatewayMetrics();
@@ -67,9 +74,19 @@
       ...settings.retries,
       windowMs: settings.retries.windowS * MS_PER_SECOND,
     });
+    this.notices = new PeerNotices({
+      id: settings.id,
+      failureDomain: settings.failureDomain,
+      address: settings.peers,
+      backends: this.backends,
+    });
     this.handler = new RequestHandler(this.createParts());
     this.links = new ControlLinks({
-      entry: settings.id,
+      entry: {
+        id: settings.id,
+        failureDomain: settings.failureDomain,
+        address: settings.peers,
+      },
       seeds: controlAddresses(settings),
       listener: this,
     });
@@ -84,6 +101,8 @@
     const gateway = new Gateway(options);
     const bound = await gateway.listenAll();
     if (!bound.ok) return bound;
+    const heard = await gateway.notices.listen();
+    if (!heard.ok) return heard;
     gateway.links.start();
     const {listen: at} = options.settings;
     log.info('Listening.', {address: at.host, port: at.port});
@@ -106,6 +125,7 @@
     }
     log.info('Stopped.', {inFlight: this.handler.inFlight});
     this.links.stop();
+    this.notices.close();
     this.connections.close();
     for (const probe of this.probes) probe.close();
   }
@@ -134,10 +154,12 @@
   onContact(contact: {
     readonly isCurrent: boolean;
     readonly version: number;
-    readonly entries: number;
+    readonly peers?: readonly EntryPeer[];
   }): void {
     this.readiness.noteContact(contact.isCurrent, contact.version);
-    this.retries.shareWith(contact.entries);
+    if (!contact.peers) return;
+    this.notices.replacePeers(contact.peers);
+    this.retries.shareWith(contact.peers.length);
   }
 
   private createParts(): GatewayParts {
@@ -149,6 +171,8 @@
       connections: this.connections,
       placements: new Placements(settings.placement, settings.failureDomain),
       retries: this.retries,
+      memory: new MemoryKeeper(dialect, this.connections),
+      notices: this.notices,
       metrics: this.metrics,
       isDraining: () => this.readiness.draining,
     };
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -28,6 +28,8 @@
     listen: addressSchema,
     /** Where the load balancer asks whether this host takes connections. */
     readiness: addressSchema,
+    /** Where other entry hosts send their notices, as datagrams. */
+    peers: addressSchema,
     /** Some control hosts; their port is not used. */
     seeds: z.array(addressSchema).min(1),
     /** Port of the calls to control hosts, equal on all of them. */
--- /dev/null
+++ b/packages/protocol/src/entry_peer_schema.ts
@@ -0,0 +1,9 @@
+import {addressSchema} from '@vanillamux/shared';
+import {z} from 'zod';
+
+/** An entry host, and where it takes notices of placements. */
+export const entryPeerSchema = z.object({
+  id: z.string().min(1),
+  failureDomain: z.string(),
+  address: addressSchema,
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -13,6 +13,8 @@
 } from './declarations.js';
 export {declarationsSchema} from './declarations_schema.js';
 export {type DeclaredVersion} from './declared_version.js';
+export {type EntryPeer} from './entry_peer.js';
+export {entryPeerSchema} from './entry_peer_schema.js';
 export {estimateTokens} from './estimate_tokens.js';
 export {type Frame} from './frame.js';
 export {FrameKind} from './frame_kind.js';
