--- /dev/null
+++ b/packages/control/__tests__/backend_registry.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {PresenceState, type Presence} from '@vanillamux/protocol';
+import {BackendRegistry} from '../src/index.js';
+
+const HEARTBEAT_MS = 1_000;
+
+function heartbeat(sequence: number, fields: Partial<Presence> = {}): Presence {
+  return {
+    id: 'a',
+    incarnation: 10,
+    sequence,
+    state: PresenceState.Ready,
+    service: 'notes',
+    address: {host: '10.0.0.1', port: 80},
+    failureDomain: 'fd-a',
+    capacity: 4,
+    ...fields,
+  };
+}
+
+describe('BackendRegistry', () => {
+  function create(): {registry: BackendRegistry; pass: (ms: number) => void} {
+    let nowMs = 0;
+    const registry = new BackendRegistry({
+      heartbeatMs: HEARTBEAT_MS,
+      now: () => nowMs,
+    });
+    return {registry, pass: ms => (nowMs += ms)};
+  }
+
+  it('sends a host only what is new to it', () => {
+    const {registry} = create();
+    registry.hear(heartbeat(1));
+    const first = registry.since('', 0);
+    registry.hear(heartbeat(1, {id: 'b', address: {host: 'b', port: 1}}));
+    const second = registry.since(first.registryId, first.position);
+    assert.deepEqual(
+      second.reports.map(({id}) => id),
+      ['b'],
+    );
+  });
+
+  it('sends everything to a host that knows another registry', () => {
+    const {registry} = create();
+    registry.hear(heartbeat(1));
+    assert.equal(registry.since('other', 99).reports.length, 1);
+  });
+
+  it('passes an unchanged heartbeat on only after a pause', () => {
+    const {registry, pass} = create();
+    registry.hear(heartbeat(1));
+    const {registryId, position} = registry.since('', 0);
+    pass(HEARTBEAT_MS);
+    registry.hear(heartbeat(2));
+    assert.equal(registry.since(registryId, position).reports.length, 0);
+    pass(3 * HEARTBEAT_MS);
+    registry.hear(heartbeat(3));
+    assert.equal(registry.since(registryId, position).reports.length, 1);
+  });
+
+  const ENDS: Array<{
+    readonly name: string;
+    readonly incarnation?: number;
+    readonly state: PresenceState;
+  }> = [
+    {name: 'without an incarnation', state: PresenceState.Gone},
+    {name: 'of this life', incarnation: 10, state: PresenceState.Gone},
+    {name: 'of a former life', incarnation: 9, state: PresenceState.Ready},
+  ];
+  for (const {name, incarnation, state} of ENDS) {
+    it(`takes a leave ${name}`, () => {
+      const {registry} = create();
+      registry.hear(heartbeat(1));
+      registry.leave('a', incarnation);
+      assert.equal(registry.since('', 0).reports[0]?.state, state);
+    });
+  }
+
+  const SILENCES = [
+    {heartbeats: 3, state: PresenceState.Ready},
+    {heartbeats: 5, state: PresenceState.Silent},
+    {heartbeats: 51, state: PresenceState.Gone},
+  ];
+  for (const {heartbeats, state} of SILENCES) {
+    it(`calls it ${state} after ${heartbeats} missed heartbeats`, () => {
+      const {registry, pass} = create();
+      registry.hear(heartbeat(1));
+      pass(heartbeats * HEARTBEAT_MS);
+      registry.expire();
+      assert.equal(registry.since('', 0).reports[0]?.state, state);
+    });
+  }
+});
--- /dev/null
+++ b/packages/gateway/__tests__/engine_placement.test.ts
@@ -0,0 +1,115 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import type {Backend} from '../src/fleet/backend.js';
+import {EnginePlacement} from '../src/placement/engine_placement.js';
+import type {PlacementDecision} from '../src/placement/placement_decision.js';
+import {createBackends, createWork} from './create_backend.js';
+import {createRoute, ENGINE} from './create_config.js';
+
+interface Asked {
+  readonly promptTokens: number;
+  readonly answerTokens?: number;
+  readonly goalMs?: number;
+  readonly nowMs?: number;
+}
+
+function place(
+  backends: readonly Backend[],
+  asked: Asked,
+): PlacementDecision | undefined {
+  const {promptTokens, answerTokens = 500, goalMs = 300, nowMs = 0} = asked;
+  return new EnginePlacement('fd-a', () => 0).place({
+    service: {
+      name: 'notes',
+      healthPath: '/',
+      maxConnections: 10,
+      engine: ENGINE,
+    },
+    route: createRoute({isStream: true, goalMs, pauseGoalMs: 250}),
+    facts: {
+      attemptId: 'r',
+      promptTokens,
+      answerTokens,
+      maxAnswerTokens: answerTokens,
+    },
+    candidates: backends,
+    nowMs,
+    waitedMs: 0,
+  });
+}
+
+describe('EnginePlacement', () => {
+  it('gives a short prompt to one engine', () => {
+    const decision = place(createBackends(4), {promptTokens: 1_000})!;
+    assert.equal(decision.helpers.length, 0);
+  });
+
+  it('avoids an engine that processes a long prompt', () => {
+    const backends = createBackends(2);
+    backends[0]!.work.add('long', createWork({prefillMs: 400}), 0);
+    const decision = place(backends, {promptTokens: 5_000})!;
+    assert.equal(decision.backend, backends[1]);
+  });
+
+  it('splits a long prompt so that no stream is held up', () => {
+    const backends = createBackends(16);
+    for (const {work} of backends) {
+      work.add('stream', createWork({decodeMs: 2_000}), 0);
+      work.markPrefilled('stream', 0);
+    }
+    const decision = place(backends, {promptTokens: 133_000, goalMs: 3_000})!;
+    const {partMs} = decision.figures!;
+    assert.ok(partMs + 45 < 250, `a part takes ${partMs} ms`);
+  });
+
+  it('keeps a long prompt away from the engines with streams', () => {
+    const backends = createBackends(6);
+    for (const {work} of backends.slice(0, 3)) {
+      work.add('stream', createWork({decodeMs: 5_000, stake: 3}), 0);
+      work.markPrefilled('stream', 0);
+    }
+    const decision = place(backends, {promptTokens: 133_000, goalMs: 3_000})!;
+    const used = decision.work.map(({backend}) => backends.indexOf(backend));
+    assert.ok(
+      used.every(at => at >= 3),
+      `used ${used.join()}`,
+    );
+  });
+
+  it('counts streams of other hosts as begun when they were due', () => {
+    const backends = createBackends(2);
+    const stream = createWork({prefillMs: 20, decodeMs: 60_000, stake: 5});
+    backends[0]!.work.addForeign('other', stream, 0);
+    const decision = place(backends, {
+      promptTokens: 60_000,
+      goalMs: 3_000,
+      nowMs: 5_000,
+    })!;
+    assert.equal(decision.backend, backends[1]);
+  });
+
+  const CONTEXTS = [
+    {promptTokens: 200_000, engines: 16, holders: 0},
+    {promptTokens: 240_000, engines: 16, holders: 2},
+    {promptTokens: 600_000, engines: 16, holders: 4},
+  ];
+  for (const {promptTokens, engines, holders} of CONTEXTS) {
+    it(`keeps ${promptTokens} tokens on ${holders} engines' memory`, () => {
+      const decision = place(createBackends(engines), {promptTokens})!;
+      const kept = decision.memory.reduce((sum, {tokens}) => sum + tokens, 0);
+      assert.equal(decision.memory.length, holders);
+      if (holders === 0) return;
+      assert.ok(kept >= promptTokens + 500);
+      assert.equal(decision.memory[0]!.backend, decision.backend);
+      const working = decision.work.map(({backend}) => backend);
+      for (const {backend, tokens} of decision.memory) {
+        assert.ok(tokens <= ENGINE.memoryTokens);
+        assert.ok(working.includes(backend));
+      }
+    });
+  }
+
+  it('places nothing that all engines together cannot hold', () => {
+    assert.equal(place(createBackends(2), {promptTokens: 900_000}), undefined);
+  });
+});
