--- a/packages/shared/src/configure_logging.ts
+++ b/packages/shared/src/configure_logging.ts
@@ -1,6 +1,10 @@
 import log from 'loglevel';
 import {LogFormat} from './log_format.js';
 import {LogLevel} from './log_level.js';
+import {LogLimiter} from './log_limiter.js';
+
+/** Bytes of output that may wait for their reader. */
+const MAX_WAITING_BYTES = 256 * 1_024;
 
 /** Options of `configureLogging`. */
 export interface LoggingOptions {
@@ -16,27 +20,21 @@
  */
 export function configureLogging(options: LoggingOptions = {}): void {
   const format = options.format ?? LogFormat.Text;
+  const limiter = new LogLimiter();
   const methodFactory: log.MethodFactory = (methodName, _level, loggerName) => {
     const part = String(loggerName);
     return (message: string, fields?: object) => {
       if (format === LogFormat.Json) {
-        const line = formatJson(
-          methodName,
-          part,
-          message,
-          options.host,
-          fields,
+        writeLimited(limiter, part, message, dropped =>
+          formatJson(methodName, part, message, options.host, {
+            ...fields,
+            ...(dropped > 0 ? {dropped} : {}),
+          }),
         );
-        process.stdout.write(line);
       } else {
-        const line = formatText(
-          methodName,
-          part,
-          message,
-          options.host,
-          fields,
+        process.stderr.write(
+          formatText(methodName, part, message, options.host, fields),
         );
-        process.stderr.write(line);
       }
     };
   };
@@ -49,6 +47,26 @@
   }
 }
 
+/**
+ * Writes a structured line unless there are too many of its kind or the reader
+ * of the output does not keep up; logging never makes the process wait.
+ */
+function writeLimited(
+  limiter: LogLimiter,
+  part: string,
+  message: string,
+  format: (dropped: number) => string,
+): void {
+  const kind = `${part} ${message}`;
+  const dropped = limiter.admit(kind);
+  if (dropped === undefined) return;
+  if (process.stdout.writableLength > MAX_WAITING_BYTES) {
+    for (let line = 0; line <= dropped; line++) limiter.noteDropped(kind);
+    return;
+  }
+  process.stdout.write(format(dropped));
+}
+
 function formatJson(
   level: string,
   part: string,
