fix(gateway): a reset never ends an answer without a length as complete

Ruled out: the length of a framed answer (Truncate is noticed), the writer.

A stream without framing that ends within an event counts as broken and is resumed.

--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -2,6 +2,7 @@
 import {Deferred, fail, succeed, type Result} from '@vanillamux/shared';
 import type {Dispatcher} from 'undici';
 import type {AnswerHead} from './answer_head.js';
+import type {Connection} from './connection.js';
 import {ExchangeFault} from './exchange_fault.js';
 
 /** Bytes that may wait for the reader before the connection is paused. */
@@ -22,7 +23,10 @@
   private cancelReason?: Error;
 
   /** `onFree` runs once the connection may carry another request. */
-  constructor(private readonly onFree: () => void) {}
+  constructor(
+    private readonly connection: Connection,
+    private readonly onFree: () => void,
+  ) {}
 
   /** The head of the answer, or why there is none. */
   head(): Promise<Result<AnswerHead, ExchangeFault>> {
@@ -85,6 +89,7 @@
   }
 
   onResponseEnd(): void {
+    if (this.connection.hasFailed) return this.end('connection reset');
     this.isEnded = true;
     this.news.resolve();
     // The client settles its own state in this turn of the event loop.
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -47,9 +47,21 @@
         return this.broken(new ExchangeFault(true, 'abandoned'));
       }
     }
-    await writer.write(splitter.takeRest(), signal);
+    const rest = splitter.takeRest();
+    if (rest.length > 0 && !isFramed(head)) {
+      return this.broken(new ExchangeFault(true, 'ended within an event'));
+    }
+    await writer.write(rest, signal);
     this.decision.backend.failures.succeed(monotonicMs());
     writer.end();
     return {end: AttemptEnd.Delivered, reason: `status ${head.status}`};
   }
 }
+
+/** Whether the end of the body is marked by more than the connection's end. */
+function isFramed({headers}: AnswerHead): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
