fix(storage): a full disk delays writes instead of ending the process

Cause: an append that a full disk refused rejected the log's chain of work, so no later sync resolved and the process ended on the unhandled rejection.

Figures: wal.test.ts, both new cases, fail without the change (ENOSPC).

--- a/packages/consensus/src/raft_log.ts
+++ b/packages/consensus/src/raft_log.ts
@@ -77,6 +77,21 @@
     return this.base.members;
   }
 
+  /**
+   * Index before the entries up to `last` that are kept for members that lag:
+   * at most `maxEntries` of them, with at most `maxBytes` of data.
+   */
+  tailStart(last: number, maxEntries: number, maxBytes: number): number {
+    let index = last;
+    let bytes = 0;
+    while (index > this.base.index && last - index < maxEntries) {
+      bytes += this.entryAt(index)?.data.length ?? 0;
+      if (bytes > maxBytes) break;
+      index--;
+    }
+    return index;
+  }
+
   /** Drops the entries up to `base.index`. */
   compact(base: SnapshotBase): void {
     const keep = this.slice(base.index + 1, Number.MAX_SAFE_INTEGER);
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -9,6 +9,7 @@
   VmuxError,
   type Result,
 } from '@vanillamux/shared';
+import {isDiskRefusal} from '@vanillamux/storage';
 import type {Stream} from 'most';
 import {Elector} from './elector.js';
 import {EntryKind} from './entry_kind.js';
@@ -38,6 +39,10 @@
 const DEFAULT_SNAPSHOT_ENTRIES = 8_192;
 const DEFAULT_TRAILING_ENTRIES = 1_024;
 const MAX_PROPOSALS = 16_384;
+/** Log on disk at which a snapshot is taken, whatever its entries' number. */
+const SNAPSHOT_BYTES = 16 * 1_024 * 1_024;
+/** Bytes of entries kept before a snapshot; far below `SNAPSHOT_BYTES`. */
+const TRAILING_BYTES = 4 * 1_024 * 1_024;
 
 const log = getLogger('consensus');
 
@@ -305,10 +310,17 @@
   private compactIfLong(): void {
     const limit = this.options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES;
     const length = this.appliedIndex - this.state.log.baseIndex;
-    if (length < limit || this.compacting) return;
-    this.compacting = this.compact().finally(() => {
-      this.compacting = undefined;
-    });
+    const isLarge = this.state.storage.logBytes >= SNAPSHOT_BYTES;
+    if ((length < limit && !isLarge) || this.compacting) return;
+    this.compacting = this.compact()
+      .catch((error: unknown) => {
+        if (!isDiskRefusal(error)) throw error;
+        const reason = (error as Error).message;
+        log.warn('The disk refuses a snapshot; trying again.', {reason});
+      })
+      .finally(() => {
+        this.compacting = undefined;
+      });
   }
 
   private async compact(): Promise<void> {
@@ -316,7 +328,7 @@
     const snapshot = this.takeSnapshot();
     await storage.saveSnapshot(snapshot);
     const trailing = this.options.trailingEntries ?? DEFAULT_TRAILING_ENTRIES;
-    const index = Math.max(snapshot.index - trailing, raftLog.baseIndex);
+    const index = raftLog.tailStart(snapshot.index, trailing, TRAILING_BYTES);
     const term = raftLog.termAt(index);
     if (term === undefined) return;
     raftLog.compact({index, term, members: raftLog.membersAt(index)});
--- a/packages/consensus/src/raft_storage.ts
+++ b/packages/consensus/src/raft_storage.ts
@@ -55,6 +55,11 @@
     return this.wal.stats;
   }
 
+  /** Length of the log on disk. */
+  get logBytes(): number {
+    return this.wal.segmentBytes;
+  }
+
   appendEntry(entry: LogEntry): void {
     this.wal.append(encode({entry}));
   }
--- a/packages/storage/__tests__/wal.test.ts
+++ b/packages/storage/__tests__/wal.test.ts
@@ -39,6 +39,35 @@
 const steps = fc.array(fc.tuple(fc.string(), fc.boolean()), {maxLength: 20});
 
 describe('write-ahead log', () => {
+  it('waits while the disk is full and then writes everything once', async () => {
+    const disk = new MemoryDisk();
+    const {wal} = await openWal(disk);
+    wal.append(Buffer.from('before'));
+    await wal.sync();
+    disk.isFull = true;
+    wal.append(Buffer.from('during'));
+    const during = wal.sync();
+    let isDurable = false;
+    void during.then(() => (isDurable = true));
+    await new Promise(resolve => setTimeout(resolve, 0));
+    assert.equal(isDurable, false);
+    disk.isFull = false;
+    await during;
+    const {texts} = await openWal(disk.crash(() => 0));
+    assert.deepEqual(texts, ['before', 'during']);
+  });
+
+  it('goes on after a rotation that a full disk refused', async () => {
+    const disk = new MemoryDisk();
+    const {wal} = await openWal(disk);
+    disk.isFull = true;
+    await assert.rejects(wal.rotate(() => [Buffer.from('snapshot')]));
+    disk.isFull = false;
+    wal.append(Buffer.from('after'));
+    await wal.sync();
+    assert.deepEqual((await openWal(disk)).texts, ['after']);
+  });
+
   it('loses nothing acknowledged at any power failure', async () => {
     await fc.assert(
       fc.asyncProperty(
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -10,3 +10,4 @@
 export {NodeDisk, type NodeDiskOptions} from './node_disk.js';
 export {scanRecords, type ScannedLog} from './scan_records.js';
 export {Wal, type OpenedWal, type WalStats} from './wal.js';
+export {isDiskRefusal} from './is_disk_refusal.js';
--- a/packages/storage/src/memory_disk.ts
+++ b/packages/storage/src/memory_disk.ts
@@ -14,6 +14,8 @@
 export class MemoryDisk extends Disk {
   /** Operations left before the power fails; writes fail from then on. */
   operationsLeft = Number.POSITIVE_INFINITY;
+  /** A full disk takes a part of each write and refuses the rest. */
+  isFull = false;
   private readonly files = new Map<string, MemoryFile>();
 
   async list(): Promise<string[]> {
@@ -32,11 +34,16 @@
       syncedBytes: 0,
     };
     this.files.set(name, file);
-    return new MemoryLogFile(file, () => this.spend());
+    return new MemoryLogFile(
+      file,
+      () => this.spend(),
+      () => this.isFull,
+    );
   }
 
   async replace(name: string, content: Uint8Array): Promise<void> {
     this.spend();
+    if (this.isFull) throw Object.assign(new Error('full'), {code: 'ENOSPC'});
     const bytes = Buffer.from(content);
     this.files.set(name, {content: bytes, syncedBytes: bytes.length});
   }
@@ -83,13 +90,16 @@
   constructor(
     private readonly file: MemoryFile,
     private readonly spend: () => void,
+    private readonly isFull: () => boolean,
   ) {
     super();
   }
 
   async append(bytes: Uint8Array): Promise<void> {
     this.spend();
-    this.file.content = Buffer.concat([this.file.content, bytes]);
+    const taken = this.isFull() ? bytes.subarray(0, bytes.length / 2) : bytes;
+    this.file.content = Buffer.concat([this.file.content, taken]);
+    if (this.isFull()) throw Object.assign(new Error('full'), {code: 'ENOSPC'});
   }
 
   async sync(): Promise<void> {
--- a/packages/storage/src/wal.ts
+++ b/packages/storage/src/wal.ts
@@ -1,12 +1,17 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {succeed, type Result} from '@vanillamux/shared';
+import {getLogger, sleep, succeed, type Result} from '@vanillamux/shared';
 import type {Disk} from './disk.js';
 import type {LogFile} from './log_file.js';
+import {isDiskRefusal} from './is_disk_refusal.js';
 import {encodeRecord} from './record_codec.js';
 import {scanRecords} from './scan_records.js';
 
 const SEGMENT_PATTERN = /^segment-(\d{10})\.wal$/;
 const SEGMENT_DIGITS = 10;
+/** Wait before a write that a full disk refused is tried again. */
+const REFUSED_RETRY_MS = 100;
+
+const log = getLogger('storage');
 
 /** Counters of a write-ahead log, since it was opened. */
 export interface WalStats {
@@ -57,6 +62,11 @@
     return succeed({wal, payloads});
   }
 
+  /** Length of the present segment. */
+  get segmentBytes(): number {
+    return this.syncedBytes;
+  }
+
   /** Adds a record; it is durable once a later `sync` resolves. */
   append(payload: Uint8Array): void {
     this.queue.push(payload);
@@ -89,7 +99,8 @@
 
   private enqueue(step: () => Promise<void>): Promise<void> {
     const done = this.work.then(step);
-    this.work = done;
+    // A step that fails is reported to its caller; later steps still run.
+    this.work = done.catch(() => undefined);
     return done;
   }
 
@@ -100,14 +111,34 @@
     const bytes = Buffer.concat(
       payloads.map(payload => encodeRecord(payload, this.syncedBytes)),
     );
-    await this.file.append(bytes);
-    await this.file.sync();
+    await this.writeOut(bytes);
     this.syncedBytes += bytes.length;
     this.stats.records += payloads.length;
     this.stats.bytes += bytes.length;
     this.stats.syncs++;
   }
 
+  /** Writes and syncs, however long the disk refuses to. */
+  private async writeOut(bytes: Uint8Array): Promise<void> {
+    let isRefused = false;
+    for (;;) {
+      try {
+        // What a refused write has left behind would look like damage.
+        if (isRefused) await this.file.truncate(this.syncedBytes);
+        await this.file.append(bytes);
+        await this.file.sync();
+        if (isRefused) log.info('The disk takes writes again.');
+        return;
+      } catch (error) {
+        if (!isDiskRefusal(error)) throw error;
+        const reason = (error as Error).message;
+        if (!isRefused) log.warn('The disk refuses writes.', {reason});
+        isRefused = true;
+        await sleep(REFUSED_RETRY_MS);
+      }
+    }
+  }
+
   private async startSegment(payloads: Uint8Array[]): Promise<void> {
     const next = this.segment + 1;
     const bytes = Buffer.concat(
