feat(gateway): admissions, refusals and completions reach the record

Cause: who was served first and why could not be proved on the platform; the gateway recorded nothing.

Change: Recorder moves to packages/control and delivers through a RecordSink: the entry host's ControlClient as before, or the gateway's links, the nearest control hosts first and as they come and go. The gateway collects entries for 250 ms.

--- a/packages/cli/src/commands/explain_command.ts
+++ b/packages/cli/src/commands/explain_command.ts
@@ -51,9 +51,10 @@
       `  ran: ${entry.ran} on ${entry.backend || 'no backend server'}, ${entry.attempts ?? 0} attempts, ${entry.durationMs} ms`,
     );
     if (entry.firstTokenMs !== undefined) {
-      lines.push(
-        `  first token after ${entry.firstTokenMs} ms, ${entry.answerTokens} tokens`,
-      );
+      const {answerTokens} = entry;
+      const length =
+        answerTokens === undefined ? '' : `, ${answerTokens} tokens`;
+      lines.push(`  first token after ${entry.firstTokenMs} ms${length}`);
     }
   }
   for (const candidate of entry.candidates ?? []) {
--- a/packages/control/src/entry_feed.ts
+++ b/packages/control/src/entry_feed.ts
@@ -27,6 +27,12 @@
   readonly waitMs: number;
 }
 
+/** A control host as entry hosts know it. */
+export interface ControlPeer {
+  readonly address: Address;
+  readonly failureDomain: string;
+}
+
 /** What is new to an entry host. */
 export interface FeedNews extends RegistryNews {
   /** Version of the published document that this control host has. */
@@ -34,7 +40,7 @@
   /** Whether this control host follows a leader that has a quorum. */
   readonly isCurrent: boolean;
   /** Control hosts that are members of the group. */
-  readonly control: readonly Address[];
+  readonly control: readonly ControlPeer[];
   readonly peersVersion: number;
   /** Entry hosts that ask this control host, unless the list is unchanged. */
   readonly peers?: readonly EntryPeer[];
@@ -78,7 +84,9 @@
       ...this.registry.since(request.registryId, request.position),
       version: this.host.machine.published.version,
       isCurrent: this.host.node.status().leaderSilentMs < CURRENT_MS,
-      control: this.host.node.status().members.map(({address}) => address),
+      control: this.host.node
+        .status()
+        .members.map(({address, failureDomain}) => ({address, failureDomain})),
       ...this.peersSince(request.peersVersion),
     };
   }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -24,16 +24,24 @@
 export {ControlClient, type ControlCall} from './control_client.js';
 export {type FeedAnswer} from './declaration_feed.js';
 export {createControlRouter, type ControlRouter} from './control_router.js';
+export {ControlRecordSink} from './control_record_sink.js';
 export {ControlServer} from './control_server.js';
 export {type ControlSettings} from './control_settings.js';
 export {controlSettingsSchema} from './control_settings_schema.js';
 export {ControlState} from './control_state.js';
-export {EntryFeed, type FeedNews, type FeedRequest} from './entry_feed.js';
+export {
+  EntryFeed,
+  type ControlPeer,
+  type FeedNews,
+  type FeedRequest,
+} from './entry_feed.js';
 export {type PublishAnswer} from './publish_answer.js';
 export {PublishedState} from './published_state.js';
 export {PublishVerdict} from './publish_verdict.js';
 export {Publisher} from './publisher.js';
 export {recordQuerySchema} from './record_query_schema.js';
+export {RecordSink} from './record_sink.js';
+export {Recorder, type RecorderOptions} from './recorder.js';
 export {RecordStore} from './record_store.js';
 export {type Reservation} from './reservation.js';
 export {ReservationState} from './reservation_state.js';
--- a/packages/entry/src/recorder.ts
+++ b/packages/control/src/recorder.ts
@@ -1,4 +1,3 @@
-import type {ControlClient} from '@vanillamux/control';
 import {
   EMPTY_CHAIN_HASH,
   hashRecordEntry,
@@ -13,8 +12,10 @@
   Wakeup,
   type HybridClock,
 } from '@vanillamux/shared';
+import type {RecordSink} from './record_sink.js';
 
-const BATCH_DELAY_MS = 20;
+const DEFAULT_BATCH_DELAY_MS = 20;
+const CLOSE_CHECK_MS = 20;
 const RETRY_DELAY_MS = 200;
 const IDLE_CHECK_MS = 1_000;
 const MAX_BATCH_ENTRIES = 1_024;
@@ -30,13 +31,15 @@
   readonly entryId: string;
   readonly failureDomain: string;
   readonly clock: HybridClock;
-  readonly control: ControlClient;
+  readonly sink: RecordSink;
+  /** Time for which entries are collected before they are sent. */
+  readonly batchDelayMs?: number;
 }
 
 /** An entry with the control hosts that have synced it. */
 interface BufferedEntry {
   readonly entry: RecordEntry;
-  readonly copies: Set<number>;
+  readonly copies: Set<string>;
 }
 
 /** Delivery to one control host. */
@@ -54,14 +57,12 @@
   private sequence = 0;
   private previousHash = EMPTY_CHAIN_HASH;
   private buffer: BufferedEntry[] = [];
-  private readonly deliveries: Delivery[];
+  private readonly deliveries = new Map<string, Delivery>();
+  private readonly batchDelayMs: number;
 
   constructor(private readonly options: RecorderOptions) {
     this.chain = `${options.entryId}/${Date.now()}`;
-    this.deliveries = Array.from({length: options.control.hostCount}, () => ({
-      wakeup: new Wakeup(),
-      isFailing: false,
-    }));
+    this.batchDelayMs = options.batchDelayMs ?? DEFAULT_BATCH_DELAY_MS;
     this.add({kind: RecordKind.Opened});
   }
 
@@ -96,12 +97,17 @@
     const hash = hashRecordEntry(entry);
     this.previousHash = hash;
     this.buffer.push({entry: {...entry, hash}, copies: new Set()});
-    for (const {wakeup} of this.deliveries) wakeup.notify();
+    this.notifyAll();
   }
 
-  /** Starts one task per control host; they end when `signal` aborts. */
-  run(signal: AbortSignal): void {
-    this.deliveries.forEach((_, place) => void this.runHost(place, signal));
+  /** Keeps one task for each control host that is known. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for (const host of this.options.sink.hosts()) {
+        if (!this.deliveries.has(host)) void this.runHost(host, signal);
+      }
+      await sleep(IDLE_CHECK_MS, signal);
+    }
   }
 
   /** Closes the chain and waits until it is delivered, at most `limitMs`. */
@@ -109,7 +115,7 @@
     this.add({kind: RecordKind.Closed});
     const endMs = monotonicMs() + limitMs;
     while (this.undelivered.length > 0 && monotonicMs() < endMs) {
-      await sleep(BATCH_DELAY_MS);
+      await sleep(CLOSE_CHECK_MS);
     }
     const entries = this.undelivered.length;
     if (entries > 0) {
@@ -117,51 +123,58 @@
     }
   }
 
-  private async runHost(place: number, signal: AbortSignal): Promise<void> {
-    const delivery = this.deliveries[place]!;
-    while (!signal.aborted) {
-      const batch = this.nextBatch(place);
+  private notifyAll(): void {
+    for (const {wakeup} of this.deliveries.values()) wakeup.notify();
+  }
+
+  /** Delivers to one host until it is not among the known ones any more. */
+  private async runHost(host: string, signal: AbortSignal): Promise<void> {
+    const delivery = {wakeup: new Wakeup(), isFailing: false};
+    this.deliveries.set(host, delivery);
+    while (!signal.aborted && this.options.sink.hosts().includes(host)) {
+      const batch = this.nextBatch(host);
       if (batch.length === 0) {
         await delivery.wakeup.wait(IDLE_CHECK_MS, signal);
-        await sleep(BATCH_DELAY_MS, signal);
+        await sleep(this.batchDelayMs, signal);
         continue;
       }
-      delivery.isFailing = !(await this.deliver(place, batch));
+      delivery.isFailing = !(await this.deliver(host, batch));
       if (!delivery.isFailing) continue;
-      for (const {wakeup} of this.deliveries) wakeup.notify();
+      this.notifyAll();
       await sleep(RETRY_DELAY_MS, signal);
     }
+    this.deliveries.delete(host);
   }
 
   /** Entries that this host should get: those that want another copy. */
-  private nextBatch(place: number): BufferedEntry[] {
-    const nearer = this.deliveries.slice(0, place);
-    const working = nearer.filter(({isFailing}) => !isFailing).length;
+  private nextBatch(host: string): BufferedEntry[] {
+    const hosts = this.options.sink.hosts();
+    const nearer = hosts.slice(0, hosts.indexOf(host));
+    const working = nearer.filter(
+      name => this.deliveries.get(name)?.isFailing === false,
+    ).length;
     if (working >= WANTED_COPIES) return [];
     return this.buffer
-      .filter(({copies}) => !copies.has(place))
+      .filter(({copies}) => !copies.has(host))
       .slice(0, MAX_BATCH_ENTRIES);
   }
 
   /** Sends one batch. Sending it again changes nothing. */
   private async deliver(
-    place: number,
+    host: string,
     batch: readonly BufferedEntry[],
   ): Promise<boolean> {
     const entries = batch.map(({entry}) => entry);
-    const result = await this.options.control.callAt(
-      place,
-      (api, signal) => api.record.append.mutate(entries, {signal}),
-      CALL_TIMEOUT_MS,
-    );
+    const {sink} = this.options;
+    const result = await sink.append(host, entries, CALL_TIMEOUT_MS);
     if (!result.ok) {
       log.debug('A control host took no record.', {
         reason: result.error.message,
       });
       return false;
     }
-    for (const {copies} of batch) copies.add(place);
-    const wanted = Math.min(WANTED_COPIES, this.deliveries.length);
+    for (const {copies} of batch) copies.add(host);
+    const wanted = Math.min(WANTED_COPIES, sink.hosts().length);
     this.buffer = this.buffer.filter(({copies}) => copies.size < wanted);
     return true;
   }
--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -1,4 +1,4 @@
-import {ControlClient} from '@vanillamux/control';
+import {ControlClient, ControlRecordSink, Recorder} from '@vanillamux/control';
 import {RetryBudget} from '@vanillamux/limits';
 import {
   BackendChangeKind,
@@ -34,7 +34,6 @@
 import {GangRunner} from './gang_runner.js';
 import {GenerationRunner} from './generation_runner.js';
 import {PeerDeclarations} from './peer_declarations.js';
-import {Recorder} from './recorder.js';
 import {RequestDesk} from './request_desk.js';
 import {ReservationClient} from './reservation_client.js';
 import {ServiceClient} from './service_client.js';
@@ -108,7 +107,7 @@
       entryId: id,
       failureDomain,
       clock,
-      control: this.control,
+      sink: new ControlRecordSink(this.control),
     });
     this.peerDeclarations = new PeerDeclarations(settings.peers, id);
     this.declarations = new DeclarationStore(
@@ -171,7 +170,7 @@
       .observe(index => this.desk.admission.retain(index.workspaceNames));
     this.mesh.run(signal);
     void this.declarations.run(signal);
-    this.recorder.run(signal);
+    void this.recorder.run(signal);
   }
 
   /** Whether callers may be sent here. */
--- a/packages/entry/src/request_desk.ts
+++ b/packages/entry/src/request_desk.ts
@@ -1,3 +1,4 @@
+import type {Recorder} from '@vanillamux/control';
 import {randomUUID} from 'node:crypto';
 import type {ServerResponse} from 'node:http';
 import {Admission, type Permit} from '@vanillamux/limits';
@@ -20,7 +21,6 @@
 } from '@vanillamux/shared';
 import {createCallerSignal} from './create_caller_signal.js';
 import type {EntryMetrics} from './entry_metrics.js';
-import type {Recorder} from './recorder.js';
 import type {RequestContext} from './request_context.js';
 
 /** What is known of a request when it asks for admission. */
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -1,11 +1,12 @@
-import type {ControlRouter, FeedNews} from '@vanillamux/control';
-import type {EntryPeer} from '@vanillamux/protocol';
+import type {ControlPeer, ControlRouter, FeedNews} from '@vanillamux/control';
+import type {EntryPeer, RecordEntry} from '@vanillamux/protocol';
 import {RpcClient} from '@vanillamux/rpc';
 import {
   formatAddress,
   getLogger,
   sleep,
   type Address,
+  type Result,
 } from '@vanillamux/shared';
 import type {LinkListener} from './link_listener.js';
 
@@ -25,7 +26,7 @@
   readonly address: Address;
   readonly listener: LinkListener;
   /** Takes the members of the group that a current control host names. */
-  readonly onMembers: (members: readonly Address[]) => void;
+  readonly onMembers: (members: readonly ControlPeer[]) => void;
 }
 
 /** One task that learns from one control host what is new. */
@@ -51,6 +52,22 @@
     }
   }
 
+  /** Whether the last call was answered. */
+  get isConnected(): boolean {
+    return this.isUp;
+  }
+
+  /** Stores entries of the record on the control host. */
+  appendRecord(
+    entries: readonly RecordEntry[],
+    timeoutMs: number,
+  ): Promise<Result<void>> {
+    return this.client.call(
+      (api, signal) => api.record.append.mutate([...entries], {signal}),
+      timeoutMs,
+    );
+  }
+
   /** Ends the task and closes the connection. */
   close(): void {
     this.stopping.abort();
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -1,5 +1,14 @@
-import {formatAddress, getLogger, type Address} from '@vanillamux/shared';
-import type {EntryPeer} from '@vanillamux/protocol';
+import {
+  ErrorCodes,
+  fail,
+  formatAddress,
+  getLogger,
+  VmuxError,
+  type Address,
+  type Result,
+} from '@vanillamux/shared';
+import {RecordSink, type ControlPeer} from '@vanillamux/control';
+import type {EntryPeer, RecordEntry} from '@vanillamux/protocol';
 import {ControlLink, type ControlLinkOptions} from './control_link.js';
 import type {LinkListener} from './link_listener.js';
 
@@ -14,12 +23,14 @@
 }
 
 /** Keeps one link to every control host, found from a few seeds. */
-export class ControlLinks {
+export class ControlLinks extends RecordSink {
+  private readonly domains = new Map<string, string>();
   private readonly links = new Map<string, ControlLink>();
   private readonly stopping = new AbortController();
   private seeds: readonly Address[];
 
   constructor(private readonly options: ControlLinksOptions) {
+    super();
     this.seeds = options.seeds;
   }
 
@@ -40,10 +51,35 @@
     for (const link of this.links.values()) link.close();
   }
 
+  /** Control hosts that answer, those of the own failure domain first. */
+  hosts(): readonly string[] {
+    const own = this.options.entry.failureDomain;
+    const rank = (key: string): number =>
+      this.domains.get(key) === own ? 0 : 1;
+    return [...this.links.entries()]
+      .filter(([, link]) => link.isConnected)
+      .map(([key]) => key)
+      .sort((a, b) => rank(a) - rank(b) || a.localeCompare(b));
+  }
+
+  async append(
+    host: string,
+    entries: readonly RecordEntry[],
+    timeoutMs: number,
+  ): Promise<Result<void>> {
+    const link = this.links.get(host);
+    if (link) return link.appendRecord(entries, timeoutMs);
+    return fail(new VmuxError(ErrorCodes.TransportFailed));
+  }
+
   /** Follows the members that a current control host names. */
-  private follow(members: readonly Address[]): void {
-    for (const member of members) this.add(member);
-    const kept = new Set([...members, ...this.seeds].map(formatAddress));
+  private follow(members: readonly ControlPeer[]): void {
+    const addresses = members.map(({address}) => address);
+    for (const {address, failureDomain} of members) {
+      this.domains.set(formatAddress(address), failureDomain);
+      this.add(address);
+    }
+    const kept = new Set([...addresses, ...this.seeds].map(formatAddress));
     for (const [key, link] of this.links) {
       if (kept.has(key)) continue;
       log.info('Left a control host that is no member any more.', {host: key});
--- a/packages/gateway/src/request/gateway_parts.ts
+++ b/packages/gateway/src/request/gateway_parts.ts
@@ -6,6 +6,7 @@
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {Placements} from '../placement/placements.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
+import type {RequestRecord} from './request_record.js';
 import type {SharedRetryBudget} from './shared_retry_budget.js';
 
 /** The parts of an entry host that a request passes. */
@@ -18,6 +19,7 @@
   readonly retries: SharedRetryBudget;
   readonly memory: MemoryKeeper;
   readonly notices: PeerNotices;
+  readonly record: RequestRecord;
   readonly metrics: GatewayMetrics;
   /** Whether the host is about to stop. */
   readonly isDraining: () => boolean;
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -118,6 +118,11 @@
       configVersion: this.parts.config.version,
     });
     this.parts.metrics.noteRefusal(refusal.status);
+    this.parts.record.noteRefused(
+      facts.attemptId,
+      refusal.status,
+      this.parts.config.version,
+    );
     const headers = this.parts.dialect.writeAnswer(facts.attemptId);
     sendRefusal(res, {...refusal, headers});
   }
--- /dev/null
+++ b/packages/gateway/src/request/request_record.ts
@@ -0,0 +1,77 @@
+import type {Recorder} from '@vanillamux/control';
+import {RecordKind, type RecordContent} from '@vanillamux/protocol';
+import {monotonicMs, RunState} from '@vanillamux/shared';
+import type {Backend} from '../fleet/backend.js';
+import type {PlacementFigures} from '../placement/placement_decision.js';
+import type {ClientRequest} from './client_request.js';
+
+/** How a request ended, for the record. */
+export interface RecordedEnd {
+  readonly ran: RunState;
+  readonly attempts: number;
+  /** Why it has no answer. */
+  readonly code?: string;
+  /** The last backend server that it was sent to. */
+  readonly backend?: Backend;
+  /** What its placement expected. */
+  readonly figures?: PlacementFigures;
+  readonly firstEventMs?: number;
+}
+
+/** Writes admissions, refusals and completions into the record. */
+export class RequestRecord {
+  constructor(private readonly recorder: Recorder) {}
+
+  /** A request was matched and will be placed. */
+  noteAdmitted(request: ClientRequest): void {
+    this.recorder.add({kind: RecordKind.Admitted, ...describe(request)});
+  }
+
+  /** A request was refused before it was matched with a route. */
+  noteRefused(requestId: string, status: number, version: number): void {
+    const code = `status_${status}`;
+    const ran = RunState.NotRun;
+    const kind = RecordKind.Refused;
+    this.recorder.add({kind, requestId, code, ran, version});
+  }
+
+  /** An admitted request has ended; one that has not run was refused. */
+  noteEnd(request: ClientRequest, end: RecordedEnd): void {
+    const {backend, figures, firstEventMs} = end;
+    const isRefusal = end.ran === RunState.NotRun;
+    this.recorder.add({
+      kind: isRefusal ? RecordKind.Refused : RecordKind.Completed,
+      ...describe(request),
+      ran: end.ran,
+      code: end.code,
+      attempts: end.attempts,
+      backend: backend?.presence.id,
+      candidates:
+        backend && figures
+          ? [
+              {
+                backend: backend.presence.id,
+                estimateMs: Math.round(figures.firstEventMs),
+                queuedTokens: 0,
+                cachedTokens: 0,
+              },
+            ]
+          : undefined,
+      firstTokenMs: firstEventMs && Math.round(firstEventMs),
+      durationMs: Math.round(monotonicMs() - request.startedMs),
+    });
+  }
+}
+
+function describe(request: ClientRequest): Omit<RecordContent, 'kind'> {
+  const {facts, route, service, workspace, configVersion} = request;
+  return {
+    requestId: facts.attemptId,
+    workspace,
+    class: route.isStream ? 'stream' : route.repeat,
+    rule: route.name,
+    target: service.name,
+    promptTokens: facts.promptTokens > 0 ? facts.promptTokens : undefined,
+    version: configVersion,
+  };
+}
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -1,4 +1,4 @@
-import {getLogger, monotonicMs, sleep} from '@vanillamux/shared';
+import {getLogger, monotonicMs, RunState, sleep} from '@vanillamux/shared';
 import {RepeatRule} from '../config/repeat_rule.js';
 import type {Backend} from '../fleet/backend.js';
 import type {HeldMemory} from '../memory/held_memory.js';
@@ -47,6 +47,7 @@
   private runs = 0;
   private rejections = 0;
   private failure?: AttemptResult['failure'];
+  private lastDecision?: PlacementDecision;
 
   constructor(
     private readonly parts: GatewayParts,
@@ -60,6 +61,7 @@
   async run(): Promise<void> {
     const {request, parts} = this;
     parts.retries.noteRequest(request.service.name, request.startedMs);
+    parts.record.noteAdmitted(request);
     while (!request.signal.aborted) {
       const decision = this.place();
       if (!decision) {
@@ -68,7 +70,9 @@
       }
       if (!this.takeRepeat()) return this.giveUp('retry budget is used up');
       const result = await this.attempt(decision);
-      if (result.end === AttemptEnd.Delivered) return this.note(result.end);
+      if (result.end === AttemptEnd.Delivered) {
+        return this.note(result.end, RunState.Done);
+      }
       if (result.end === AttemptEnd.Abandoned) break;
       this.logFailure(decision, result);
       this.failure = result.failure ?? this.failure;
@@ -126,6 +130,7 @@
   private async attempt(decision: PlacementDecision): Promise<AttemptResult> {
     this.sends++;
     this.tried.add(decision.backend);
+    this.lastDecision = decision;
     this.logPlacement(decision);
     const held = await this.hold(decision);
     if (!held) {
@@ -215,17 +220,18 @@
     const {request, parts} = this;
     const {res} = request;
     if (this.writer.hasBegun) {
-      this.note(AttemptEnd.Broken);
+      this.note(AttemptEnd.Broken, RunState.Unknown, reason);
       this.writer.breakOff();
       return;
     }
     if (this.failure) {
-      this.note(AttemptEnd.FailureAnswer);
+      this.note(AttemptEnd.FailureAnswer, RunState.Failed, reason);
       this.writer.writeWhole(this.failure.head, this.failure.body);
       return;
     }
     const hasRun = this.runs > 0;
-    this.note(hasRun ? AttemptEnd.Broken : AttemptEnd.NotRun);
+    if (hasRun) this.note(AttemptEnd.Broken, RunState.Unknown, reason);
+    else this.note(AttemptEnd.NotRun, RunState.NotRun, reason);
     log.info('Gave up a request.', {
       request: request.facts.attemptId,
       route: request.route.name,
@@ -246,7 +252,8 @@
   private finishAbandoned(): void {
     const {request, parts} = this;
     const {res, signal} = request;
-    this.note(AttemptEnd.Abandoned);
+    const ran = this.sends > 0 ? RunState.Unknown : RunState.NotRun;
+    this.note(AttemptEnd.Abandoned, ran, String(signal.reason));
     if (signal.reason !== AbortReason.DeadlinePassed) return;
     log.info('The time of a request is over.', {
       request: request.facts.attemptId,
@@ -293,8 +300,18 @@
     });
   }
 
-  private note(end: AttemptEnd): void {
-    const {route, startedMs} = this.request;
-    this.parts.metrics.noteEnd(route, end, monotonicMs() - startedMs);
+  private note(end: AttemptEnd, ran: RunState, code?: string): void {
+    const {request, parts, progress, lastDecision} = this;
+    const {route, startedMs} = request;
+    parts.metrics.noteEnd(route, end, monotonicMs() - startedMs);
+    const firstMs = progress.firstEventMs;
+    parts.record.noteEnd(request, {
+      ran,
+      code,
+      attempts: this.sends,
+      backend: lastDecision?.backend,
+      figures: lastDecision?.figures,
+      firstEventMs: firstMs && firstMs - startedMs,
+    });
   }
 }
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -41,6 +41,7 @@
       if (count === 0) continue;
       this.markPrefilled();
       progress.events += count;
+      progress.firstEventMs ??= monotonicMs();
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
       await writer.write(bytes, signal);
       if (signal.aborted) {
--- a/packages/gateway/src/request/stream_progress.ts
+++ b/packages/gateway/src/request/stream_progress.ts
@@ -3,4 +3,6 @@
   /** Id of the last whole event. */
   lastEventId?: string;
   events: number;
+  /** When the first event was passed on, on the monotonic clock. */
+  firstEventMs?: number;
 }
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {Recorder} from '@vanillamux/control';
 import type {
   EntryPeer,
   Presence,
@@ -6,6 +7,7 @@
 } from '@vanillamux/protocol';
 import {
   getLogger,
+  HybridClock,
   listen,
   monotonicMs,
   sleep,
@@ -24,6 +26,7 @@
 import {PeerNotices} from '../peers/peer_notices.js';
 import type {GatewayParts} from '../request/gateway_parts.js';
 import {RequestHandler} from '../request/request_handler.js';
+import {RequestRecord} from '../request/request_record.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
 import {createProbeServer} from './create_probe_server.js';
 import {GatewayMetrics} from './gateway_metrics.js';
@@ -34,6 +37,10 @@
 /** Time before the kill within which the process ends by itself. */
 const EXIT_MARGIN_MS = 600;
 const DRAIN_CHECK_MS = 50;
+/** Time for which entries of the record are collected; syncs are few then. */
+const RECORD_BATCH_MS = 250;
+/** Time for the last entries of the record, within the exit margin. */
+const RECORD_FLUSH_MS = 400;
 /** Idle time after which a connection is closed before a limit is known. */
 const FIRST_IDLE_TIMEOUT_MS = 15_000;
 const FIRST_HEADER_TIMEOUT_MS = 3_000;
@@ -61,6 +68,8 @@
   private readonly readiness: Readiness;
   private readonly handler: RequestHandler;
   private readonly links: ControlLinks;
+  private readonly recorder: Recorder;
+  private readonly stopping = new AbortController();
   private readonly notices: PeerNotices;
   private readonly clients: Server;
   private readonly probes: Server[] = [];
@@ -74,13 +83,6 @@
       ...settings.retries,
       windowMs: settings.retries.windowS * MS_PER_SECOND,
     });
-    this.notices = new PeerNotices({
-      id: settings.id,
-      failureDomain: settings.failureDomain,
-      address: settings.peers,
-      backends: this.backends,
-    });
-    this.handler = new RequestHandler(this.createParts());
     this.links = new ControlLinks({
       entry: {
         id: settings.id,
@@ -90,6 +92,20 @@
       seeds: controlAddresses(settings),
       listener: this,
     });
+    this.recorder = new Recorder({
+      entryId: settings.id,
+      failureDomain: settings.failureDomain,
+      clock: new HybridClock(),
+      sink: this.links,
+      batchDelayMs: RECORD_BATCH_MS,
+    });
+    this.notices = new PeerNotices({
+      id: settings.id,
+      failureDomain: settings.failureDomain,
+      address: settings.peers,
+      backends: this.backends,
+    });
+    this.handler = new RequestHandler(this.createParts());
     this.clients = this.createClientServer();
     void this.backends
       .ended()
@@ -104,6 +120,7 @@
     const heard = await gateway.notices.listen();
     if (!heard.ok) return heard;
     gateway.links.start();
+    void gateway.recorder.run(gateway.stopping.signal);
     const {listen: at} = options.settings;
     log.info('Listening.', {address: at.host, port: at.port});
     return succeed(gateway);
@@ -124,6 +141,8 @@
       this.clients.closeIdleConnections();
     }
     log.info('Stopped.', {inFlight: this.handler.inFlight});
+    await this.recorder.close(RECORD_FLUSH_MS);
+    this.stopping.abort();
     this.links.stop();
     this.notices.close();
     this.connections.close();
@@ -171,6 +190,7 @@
       connections: this.connections,
       placements: new Placements(settings.placement, settings.failureDomain),
       retries: this.retries,
+      record: new RequestRecord(this.recorder),
       memory: new MemoryKeeper(dialect, this.connections),
       notices: this.notices,
       metrics: this.metrics,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,10 +23,13 @@
   format: 'cjs',
   minify: process.argv.includes('--minify'),
   // The packages are bundled from their sources; no compiler runs before.
-  alias: Object.fromEntries(
-    packages.map(name => [
-      `@vanillamux/${name}`,
-      `./packages/${name}/src/index.ts`,
-    ]),
-  ),
+  alias: {
+    undici: './scripts/undici_client.mjs',
+    ...Object.fromEntries(
+      packages.map(name => [
+        `@vanillamux/${name}`,
+        `./packages/${name}/src/index.ts`,
+      ]),
+    ),
+  },
 });
