fix(gateway): an answer whose end is not marked is passed on the same way

Cause: a backend server that crashes during an answer without a length closes its connection cleanly; the gateway put a Content-Length on the part it had, which vouches for an answer that is cut short.

Ruled out: a hidden reset (a trial that logged the socket's events saw 'end' and no error, 16 bytes, no length); so the end cannot be told from a break.

Change: answers and streams without framing go to the client without framing, on a connection that closes. A stream whose first part was framed is broken off rather than ended by a part that was not.

--- a/packages/gateway/src/request/answer_writer.ts
+++ b/packages/gateway/src/request/answer_writer.ts
@@ -1,10 +1,14 @@
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import type {AnswerHead} from '../connection/answer_head.js';
+import {isFramed} from '../connection/is_framed.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 
 /** Writes the answer of a backend server to the client. */
 export class AnswerWriter {
+  /** Whether the client can tell the end of the answer from a break. */
+  isFramed = true;
+
   constructor(
     private readonly res: ServerResponse,
     private readonly isDraining: () => boolean,
@@ -17,15 +21,15 @@
 
   /** Writes a whole answer. */
   writeWhole(head: AnswerHead, body: Buffer): void {
-    const headers = endToEndHeaders(head.rawHeaders);
-    headers.push('Content-Length', String(body.length));
+    const headers = this.startHead(head);
+    if (this.isFramed) headers.push('Content-Length', String(body.length));
     this.res.writeHead(head.status, this.withConnection(headers));
     this.res.end(body);
   }
 
   /** Writes the head of an answer whose length is not known. */
   begin(head: AnswerHead): void {
-    const headers = endToEndHeaders(head.rawHeaders);
+    const headers = this.startHead(head);
     this.res.writeHead(head.status, this.withConnection(headers));
     this.res.flushHeaders();
   }
@@ -47,8 +51,22 @@
     this.res.destroy();
   }
 
+  /**
+   * An answer whose end the backend server does not mark is passed on the same
+   * way: a mark of our own would vouch for an answer that may be cut short.
+   */
+  private startHead(head: AnswerHead): string[] {
+    this.isFramed = isFramed(head);
+    if (!this.isFramed) {
+      this.res.removeHeader('Transfer-Encoding');
+      this.res.shouldKeepAlive = false;
+    }
+    return endToEndHeaders(head.rawHeaders);
+  }
+
   private withConnection(headers: string[]): string[] {
-    if (this.isDraining()) headers.push('Connection', 'close');
+    if (this.isDraining() || !this.isFramed)
+      headers.push('Connection', 'close');
     return headers;
   }
 }
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -2,6 +2,7 @@
 import type {AnswerHead} from '../connection/answer_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import {ExchangeFault} from '../connection/exchange_fault.js';
+import {isFramed} from '../connection/is_framed.js';
 import type {AnswerWriter} from './answer_writer.js';
 import {Attempt, type AttemptOptions} from './attempt.js';
 import {AttemptEnd} from './attempt_end.js';
@@ -49,8 +50,9 @@
       }
     }
     const rest = splitter.takeRest();
-    if (rest.length > 0 && !isFramed(head)) {
-      return this.broken(new ExchangeFault(true, 'ended within an event'));
+    const isSure = isFramed(head) || !writer.isFramed;
+    if (!isSure || (rest.length > 0 && !isFramed(head))) {
+      return this.broken(new ExchangeFault(true, 'ended without a mark'));
     }
     await writer.write(rest, signal);
     this.decision.backend.failures.succeed(monotonicMs());
@@ -58,11 +60,3 @@
     return {end: AttemptEnd.Delivered, reason: `status ${head.status}`};
   }
 }
-
-/** Whether the end of the body is marked by more than the connection's end. */
-function isFramed({headers}: AnswerHead): boolean {
-  return (
-    headers['content-length'] !== undefined ||
-    headers['transfer-encoding'] !== undefined
-  );
-}
