perf(rpc): compress messages from 1 KiB on

A configuration of 43 KB goes to two followers and, for most gateways, comes from a control host of another failure domain.

Change: the WebSocket server accepts compression without a kept context.

Conclusion: kept if the processor time does not outweigh it.

--- a/packages/rpc/src/serve_rpc.ts
+++ b/packages/rpc/src/serve_rpc.ts
@@ -6,6 +6,11 @@
 const PING_INTERVAL_MS = 2_000;
 const PONG_TIMEOUT_MS = 1_000;
 const MAX_MESSAGE_BYTES = 32 * 1_024 * 1_024;
+/**
+ * Messages from this size on are compressed: configurations and batches of the
+ * record shrink several times, and bytes between failure domains are dear.
+ */
+const COMPRESS_FROM_BYTES = 1_024;
 
 /** Path under which processes reach each other's routers. */
 export const RPC_PATH = '/rpc';
@@ -19,6 +24,12 @@
     server,
     path: RPC_PATH,
     maxPayload: MAX_MESSAGE_BYTES,
+    // Without a context for each connection, memory does not grow with them.
+    perMessageDeflate: {
+      threshold: COMPRESS_FROM_BYTES,
+      serverNoContextTakeover: true,
+      clientNoContextTakeover: true,
+    },
   });
   // The HTTP server reports its own errors; without a listener here the copy
   // that ws re-emits would stop the process on a port that is taken.
