fix(gateway): a control host that has just started does not shrink the list of peers

Cause: each gateway took the list of entry hosts of whichever control host answered last. One that has just started lists those that have asked so far, so a gateway took the whole fixed part of the shared retry budget for itself and told nobody of its placements.

Change: PeerRoster takes the longest list of the control hosts heard lately.

--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -101,7 +101,8 @@
     if (news.version > listener.version) await this.fetchDocument();
     // Without this pause an unreadable document would be asked for in a loop.
     if (news.version > listener.version) await this.pause();
-    listener.onContact(news);
+    const from = formatAddress(this.options.address);
+    listener.onContact({...news, from});
     if (news.isCurrent) this.options.onMembers(news.control);
   }
 
--- a/packages/gateway/src/link/link_listener.ts
+++ b/packages/gateway/src/link/link_listener.ts
@@ -11,11 +11,12 @@
   abstract get version(): number;
   abstract onDocument(document: PublishedDocument): void;
   /**
-   * A control host has answered. `isCurrent` says whether it follows a leader
+   * The control host `from` has answered. `isCurrent` says whether it follows a leader
    * with a quorum; `version` is that of its document, `peers` the entry hosts
    * that it knows, unless they are the same as before.
    */
   abstract onContact(contact: {
+    readonly from: string;
     readonly isCurrent: boolean;
     readonly version: number;
     readonly peers?: readonly EntryPeer[];
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -24,6 +24,7 @@
 import {MemoryKeeper} from '../memory/memory_keeper.js';
 import {Placements} from '../placement/placements.js';
 import {PeerNotices} from '../peers/peer_notices.js';
+import {PeerRoster} from '../peers/peer_roster.js';
 import type {GatewayParts} from '../request/gateway_parts.js';
 import {RequestHandler} from '../request/request_handler.js';
 import {RequestRecord} from '../request/request_record.js';
@@ -71,6 +72,7 @@
   private readonly recorder: Recorder;
   private readonly stopping = new AbortController();
   private readonly notices: PeerNotices;
+  private readonly roster = new PeerRoster();
   private readonly clients: Server;
   private readonly probes: Server[] = [];
   private readonly metrics = new GatewayMetrics();
@@ -171,14 +173,17 @@
   }
 
   onContact(contact: {
+    readonly from: string;
     readonly isCurrent: boolean;
     readonly version: number;
     readonly peers?: readonly EntryPeer[];
   }): void {
     this.readiness.noteContact(contact.isCurrent, contact.version);
-    if (!contact.peers) return;
-    this.notices.replacePeers(contact.peers);
-    this.retries.shareWith(contact.peers.length);
+    const nowMs = monotonicMs();
+    this.roster.note(contact.from, contact.peers, nowMs);
+    const peers = this.roster.current(nowMs);
+    this.notices.replacePeers(peers);
+    this.retries.shareWith(peers.length);
   }
 
   private createParts(): GatewayParts {
