--- /dev/null
+++ b/packages/gateway/__tests__/config_store.test.ts
@@ -0,0 +1,64 @@
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {succeed, type Result} from '@vanillamux/shared';
+import {Dialect, type GatewayConfig} from '../src/index.js';
+import {ConfigStore} from '../src/link/config_store.js';
+import {createConfig} from './create_config.js';
+
+/** Reads the version from the text; nothing else is asked of it here. */
+class VersionDialect extends Dialect {
+  readConfig(text: string): Result<GatewayConfig> {
+    return succeed(createConfig({version: Number(text)}));
+  }
+
+  readRequest(): never {
+    throw new Error('not used');
+  }
+
+  writeRequest(): never {
+    throw new Error('not used');
+  }
+
+  readAnswer(): never {
+    throw new Error('not used');
+  }
+
+  writeMemoryOrder(): never {
+    throw new Error('not used');
+  }
+
+  writeAnswer(): never {
+    throw new Error('not used');
+  }
+}
+
+function publish(store: ConfigStore, version: number): void {
+  store.take({version, digest: '', text: String(version)});
+}
+
+describe('ConfigStore', () => {
+  const CASES = [
+    {versions: [3, 7], inForce: 7},
+    {versions: [7, 3], inForce: 7},
+    {versions: [7, 7, 6], inForce: 7},
+  ];
+  for (const {versions, inForce} of CASES) {
+    it(`has ${inForce} in force after ${versions.join()}`, () => {
+      const store = new ConfigStore(new VersionDialect());
+      for (const version of versions) publish(store, version);
+      assert.equal(store.version, inForce);
+    });
+  }
+
+  it('lets a request wait for the first configuration', async () => {
+    const store = new ConfigStore(new VersionDialect());
+    const waiting = store.waitForFirst(10_000);
+    publish(store, 1);
+    assert.equal((await waiting)?.config.version, 1);
+  });
+
+  it('gives up the wait', async () => {
+    const store = new ConfigStore(new VersionDialect());
+    assert.equal(await store.waitForFirst(1), undefined);
+  });
+});
--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,7 +1,10 @@
 import {buildConnector, Client} from 'undici';
 
-/** Time within which a backend server has to accept a connection. */
-const CONNECT_TIMEOUT_MS = 800;
+/**
+ * Time within which a backend server has to accept a connection. Far above a
+ * round trip in a region; a lost packet is sent again after a second only.
+ */
+const CONNECT_TIMEOUT_MS = 300;
 /** Time for which an idle connection is kept, unless the peer says less. */
 const IDLE_TIMEOUT_MS = 8_000;
 /** Margin before the end that a peer states for an idle connection. */
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -7,6 +7,7 @@
 
 /** Bytes that may wait for the reader before the connection is paused. */
 const MAX_WAITING_BYTES = 256 * 1_024;
+const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 
 /** One request and its answer on one connection to a backend server. */
 export class Exchange implements Dispatcher.DispatchHandler {
@@ -100,11 +101,12 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
-    this.end(error.message);
+    const {code} = error as NodeJS.ErrnoException;
+    this.end(error.message, code === CONNECT_TIMEOUT_CODE);
   }
 
-  private end(reason: string): void {
-    this.fault ??= new ExchangeFault(this.wasSent, reason);
+  private end(reason: string, isUnreachable = false): void {
+    this.fault ??= new ExchangeFault(this.wasSent, reason, isUnreachable);
     this.headArrived.resolve(fail(this.fault));
     this.news.resolve();
   }
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -3,6 +3,7 @@
 import {EventBus, getLogger} from '@vanillamux/shared';
 import type {Stream} from 'most';
 import {Backend} from './backend.js';
+import {DomainReach} from './domain_reach.js';
 
 const log = getLogger('backends');
 
@@ -11,6 +12,7 @@
   private readonly table = new PresenceTable();
   private readonly backends = new Map<string, Backend>();
   private readonly byService = new Map<string, Set<Backend>>();
+  readonly reach = new DomainReach();
   private readonly endedBus = new EventBus<Backend>();
 
   /** Streams the backend servers whose life has ended. */
--- a/packages/gateway/src/link/config_store.ts
+++ b/packages/gateway/src/link/config_store.ts
@@ -1,5 +1,5 @@
 import type {PublishedDocument} from '@vanillamux/protocol';
-import {getLogger} from '@vanillamux/shared';
+import {Deferred, getLogger, sleep} from '@vanillamux/shared';
 import {RouteTable} from '../config/route_table.js';
 import type {Dialect} from '../dialect/dialect.js';
 
@@ -8,6 +8,7 @@
 /** The configuration in force on this host; it never goes back. */
 export class ConfigStore {
   private table?: RouteTable;
+  private readonly first = new Deferred<void>();
 
   constructor(private readonly dialect: Dialect) {}
 
@@ -21,6 +22,15 @@
     return this.table?.config.version ?? -1;
   }
 
+  /** Waits until there is a configuration, at most `timeoutMs`. */
+  async waitForFirst(timeoutMs: number): Promise<RouteTable | undefined> {
+    if (this.table) return this.table;
+    const timer = new AbortController();
+    await Promise.race([this.first.promise, sleep(timeoutMs, timer.signal)]);
+    timer.abort();
+    return this.table;
+  }
+
   /** Puts a document in force if its version is higher. */
   take(document: PublishedDocument): void {
     if (document.version <= this.version) return;
@@ -34,6 +44,7 @@
       return;
     }
     this.table = new RouteTable(config.value);
+    this.first.resolve();
     log.info('Configuration in force.', {
       version: document.version,
       routes: config.value.routes.length,
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,4 +1,4 @@
-import {monotonicMs} from '@vanillamux/shared';
+import {formatAddress, monotonicMs} from '@vanillamux/shared';
 import {RepeatRule} from '../config/repeat_rule.js';
 import type {AnswerHead} from '../connection/answer_head.js';
 import type {Exchange} from '../connection/exchange.js';
@@ -8,6 +8,7 @@
 import {AnswerVerdict} from '../dialect/answer_verdict.js';
 import type {EngineHelper} from '../dialect/engine_helper.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
+import type {Backend} from '../fleet/backend.js';
 import type {HeldMemory} from '../memory/held_memory.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptEnd} from './attempt_end.js';
@@ -111,7 +112,13 @@
     if (signal.aborted) {
       return {end: AttemptEnd.Abandoned, reason: String(signal.reason)};
     }
-    this.decision.backend.failures.breakOff(monotonicMs());
+    const {failures, presence} = this.decision.backend;
+    failures.breakOff(monotonicMs());
+    if (fault.isUnreachable) {
+      const {failureDomain, id} = presence;
+      const {reach} = this.parts.backends;
+      reach.noteUnreachable(failureDomain, id, monotonicMs());
+    }
     const end = fault.wasSent ? AttemptEnd.Broken : AttemptEnd.NotSent;
     return {end, reason: fault.reason};
   }
@@ -188,6 +195,7 @@
       this.request.facts.attemptId,
     );
     const {backend} = this.decision;
+    this.parts.backends.reach.noteReached(backend.presence.failureDomain);
     if (facts.load) backend.noteLoad(facts.load, monotonicMs());
     const refusal = this.refusal(facts);
     if (refusal) return refusal;
@@ -199,8 +207,27 @@
     return {end: AttemptEnd.FailureAnswer, reason, failure: {head, body}};
   }
 
+  /** The helper of an address, unless it is the answering engine itself. */
+  private findHelper(address: string | undefined): Backend | undefined {
+    if (address === undefined) return undefined;
+    return this.decision.work
+      .map(({backend}) => backend)
+      .find(
+        backend =>
+          backend !== this.decision.backend &&
+          formatAddress(backend.presence.address) === address,
+      );
+  }
+
   /** The end of the attempt if the head is not that of a genuine answer. */
-  private refusal({verdict}: AnswerFacts): AttemptResult | undefined {
+  private refusal(facts: AnswerFacts): AttemptResult | undefined {
+    const {verdict} = facts;
+    const faulty = this.findHelper(facts.faultAddress);
+    if (faulty && verdict !== AnswerVerdict.Genuine) {
+      faulty.failures.breakOff(monotonicMs());
+      const reason = `helper ${faulty.presence.id} is at fault`;
+      return {end: AttemptEnd.NotRun, reason, faulty};
+    }
     const {failures} = this.decision.backend;
     switch (verdict) {
       case AnswerVerdict.Genuine:
--- a/packages/gateway/src/request/read_body.ts
+++ b/packages/gateway/src/request/read_body.ts
@@ -24,8 +24,11 @@
       else resolve(fail(new VmuxError(ErrorCodes.BodyTooLarge)));
     });
     req.on('end', () => resolve(succeed(Buffer.concat(chunks))));
-    const onBreak = () => resolve(fail(new VmuxError(ErrorCodes.Cancelled)));
+    const onBreak = (): void =>
+      resolve(fail(new VmuxError(ErrorCodes.Cancelled)));
     req.on('error', onBreak);
     req.on('close', onBreak);
+    // The client may have left while the request waited to be read.
+    if (req.destroyed && !req.complete) onBreak();
   });
 }
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -13,6 +13,11 @@
 
 /** Time after which a client may come back to a host that has just started. */
 const NOT_READY_RETRY_MS = 500;
+/**
+ * Time for which a request waits for the first configuration. After a restart
+ * of every host, the control group needs about a second to elect a leader.
+ */
+const CONFIG_WAIT_MS = 3_000;
 
 const log = getLogger('request');
 
@@ -44,7 +49,9 @@
     const startedMs = monotonicMs();
     const {parts} = this;
     const facts = parts.dialect.readRequest(req.headers);
-    const table = parts.config.current;
+    const table = await parts.config.waitForFirst(
+      Math.min(CONFIG_WAIT_MS, (facts.patienceMs ?? Infinity) / 2),
+    );
     if (!table) {
       const reason = 'no configuration is known yet; come back soon';
       const retryAfterMs = NOT_READY_RETRY_MS;
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -19,8 +19,10 @@
 const MAX_REJECTIONS = 4;
 /** Wait before a request is offered again after every backend refused. */
 const RETRY_DELAY_MS = 30;
-/** Wait for a backend server where none is known. */
+/** Interval at which a host without any backend server looks for one. */
 const NO_BACKEND_WAIT_MS = 100;
+/** Time in which heartbeats come after a start: an interval and some more. */
+const BACKEND_WAIT_MS = 1_500;
 /** Share of the time left after which a repeatable request is sent again. */
 const PATIENCE_SHARE = 0.5;
 /** Least time that a backend server is given before a request is repeated. */
@@ -45,6 +47,8 @@
   private readonly tried = new Set<Backend>();
   private sends = 0;
   private runs = 0;
+  /** Sends that may have reached a backend server. */
+  private arrivals = 0;
   private rejections = 0;
   private failure?: AttemptResult['failure'];
   private lastDecision?: PlacementDecision;
@@ -87,7 +91,12 @@
     const nowMs = monotonicMs();
     const all = parts.backends.candidates(service.name);
     const untried = all.filter(backend => !this.tried.has(backend));
-    const calm = untried.filter(({failures}) => !failures.isPaused(nowMs));
+    const {reach} = parts.backends;
+    const calm = untried.filter(
+      ({failures, presence}) =>
+        !failures.isPaused(nowMs) &&
+        !reach.isSuspect(presence.failureDomain, nowMs),
+    );
     const candidates = calm.length > 0 ? calm : untried;
     if (candidates.length === 0) return undefined;
     return parts.placements.for(service).place({
@@ -108,7 +117,8 @@
     const {request, parts} = this;
     const {service, signal, route, startedMs} = request;
     const hasAny = parts.backends.candidates(service.name).length > 0;
-    if (hasAny || monotonicMs() - startedMs > route.goalMs) {
+    const waitMs = Math.max(route.goalMs, BACKEND_WAIT_MS);
+    if (hasAny || monotonicMs() - startedMs > waitMs) {
       this.giveUp(
         this.tried.size > 0
           ? 'every backend server has refused'
@@ -120,9 +130,9 @@
     return true;
   }
 
-  /** Sends beyond the first draw on the budget. */
+  /** Sends beyond the first that may have arrived draw on the budget. */
   private takeRepeat(): boolean {
-    if (this.sends === 0) return true;
+    if (this.arrivals === 0) return true;
     const {name} = this.request.service;
     return this.parts.retries.take(name, monotonicMs());
   }
@@ -141,6 +151,11 @@
     if (held.length > 0) void this.parts.memory.keep(held, finished.signal);
     const result = await this.send(decision, held);
     finished.abort();
+    if (result.end !== AttemptEnd.NotSent) this.arrivals++;
+    if (result.faulty) {
+      this.tried.add(result.faulty);
+      this.tried.delete(decision.backend);
+    }
     const mayHaveRun =
       result.end !== AttemptEnd.NotSent && result.end !== AttemptEnd.NotRun;
     if (mayHaveRun) this.runs++;
