test(control): a group that is found from seeds, with real processes

Change: four hosts that know three seeds: the fourth joins, a lost one is replaced by an empty one at another address, a host that lost its disk comes back under another id, and the group publishes.

--- /dev/null
+++ b/packages/fleet/__tests__/discovery.test.ts
@@ -0,0 +1,128 @@
+import assert from 'node:assert/strict';
+import {mkdirSync, mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {after, before, describe, it} from 'node:test';
+import {fileURLToPath} from 'node:url';
+import {ControlClient, type Member} from '@vanillamux/control';
+import {sleep} from '@vanillamux/shared';
+import {ManagedProcess} from '../src/managed_process.js';
+import {pickPorts} from '../src/pick_ports.js';
+
+const SCRIPT = fileURLToPath(
+  new URL('../../../control/bin/vmux_control.js', import.meta.url),
+);
+const LIMIT_MS = 20_000;
+const POLL_MS = 50;
+
+/** Hosts differ in their address only; the port is the same on all. */
+const HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13', '127.0.0.14'];
+const SEEDS = HOSTS.slice(0, 3);
+const REPLACEMENT = '127.0.0.15';
+
+describe('a control group that is found from seeds', () => {
+  const folder = mkdtempSync(join(tmpdir(), 'vmux-discovery-'));
+  const processes = new Map<string, ManagedProcess>();
+  let port: number;
+  let client: ControlClient;
+
+  before(async () => {
+    [port] = (await pickPorts(1)) as [number];
+    const addresses = [...HOSTS, REPLACEMENT].map(host => ({host, port}));
+    client = new ControlClient(addresses);
+    for (const host of HOSTS) start(host, true);
+  });
+
+  after(async () => {
+    client.close();
+    for (const process of processes.values()) await process.stop('SIGKILL');
+  });
+
+  function start(host: string, bootstrap: boolean): void {
+    const dataFolder = join(folder, host);
+    mkdirSync(dataFolder, {recursive: true});
+    const config = join(folder, `${host}.yaml`);
+    const seeds = SEEDS.map(seed => `${seed}:1`);
+    writeFileSync(
+      config,
+      JSON.stringify({
+        id: `control-${host}`,
+        failureDomain: 'fd-a',
+        listen: `${host}:${port}`,
+        dataFolder,
+        discovery: {seeds, peerPort: port, bootstrap},
+      }),
+    );
+    const process = new ManagedProcess({
+      name: host,
+      script: SCRIPT,
+      args: ['--config', config],
+      logFile: join(folder, `${host}.log`),
+    });
+    process.start();
+    processes.set(host, process);
+  }
+
+  async function readVoters(): Promise<Member[]> {
+    const status = await client.callLeader(async (api, signal) => {
+      await api.declarations.current.query(undefined, {signal});
+      return api.group.status.query(undefined, {signal});
+    });
+    if (!status.ok) return [];
+    return status.value.members.filter(({role}) => role === 'voter');
+  }
+
+  async function readIdOf(host: string): Promise<string | undefined> {
+    const voters = await readVoters();
+    return voters.find(({address}) => address.host === host)?.id;
+  }
+
+  async function waitForVoters(expected: readonly string[]): Promise<void> {
+    let found: string[] = [];
+    for (let waitedMs = 0; waitedMs < LIMIT_MS; waitedMs += POLL_MS) {
+      const voters = await readVoters();
+      found = voters.map(({address}) => address.host).sort();
+      if (found.join() === expected.join()) return;
+      await sleep(POLL_MS);
+    }
+    assert.deepEqual(found, expected);
+  }
+
+  it('forms from the seeds and takes in whoever asks', async () => {
+    await waitForVoters(HOSTS);
+  });
+
+  it('replaces a lost host by an empty one at another address', async () => {
+    await processes.get(HOSTS[0]!)!.stop('SIGKILL');
+    start(REPLACEMENT, false);
+    await waitForVoters([...HOSTS.slice(1), REPLACEMENT]);
+  });
+
+  it('takes a host back that has lost its disk, under another id', async () => {
+    const host = HOSTS[1]!;
+    const formerId = await readIdOf(host);
+    await processes.get(host)!.stop('SIGKILL');
+    rmSync(join(folder, host), {recursive: true});
+    start(host, false);
+    let id = formerId;
+    for (let waitedMs = 0; waitedMs < LIMIT_MS; waitedMs += POLL_MS) {
+      id = await readIdOf(host);
+      if (id !== undefined && id !== formerId) break;
+      await sleep(POLL_MS);
+    }
+    assert.notEqual(id, formerId);
+    await waitForVoters([...HOSTS.slice(1), REPLACEMENT]);
+  });
+
+  it('publishes the highest version through the leader', async () => {
+    const document = {version: 7, digest: 'd', text: '{}'};
+    const answer = await client.callLeader((api, signal) =>
+      api.publication.publish.mutate(document, {signal}),
+    );
+    assert.ok(answer.ok, answer.ok ? '' : answer.error.message);
+    const read = await client.callLeader((api, signal) =>
+      api.publication.read.query(undefined, {signal}),
+    );
+    assert.deepEqual(read.ok && read.value, document);
+  });
+});
