refactor(gateway): one export a file in placement, fleet and requests

Cause: seven files exported two to four things each, against the house style.

Change: each function and type has its own file; nothing else changes.

--- /dev/null
+++ b/packages/control/src/control_peer.ts
@@ -0,0 +1,7 @@
+import type {Address} from '@vanillamux/shared';
+
+/** A control host as entry hosts know it. */
+export interface ControlPeer {
+  readonly address: Address;
+  readonly failureDomain: string;
+}
--- a/packages/control/src/entry_feed.ts
+++ b/packages/control/src/entry_feed.ts
@@ -1,13 +1,9 @@
 import type {EntryPeer} from '@vanillamux/protocol';
-import {
-  Deferred,
-  formatAddress,
-  monotonicMs,
-  sleep,
-  type Address,
-} from '@vanillamux/shared';
-import type {BackendRegistry, RegistryNews} from './backend_registry.js';
+import {Deferred, formatAddress, monotonicMs, sleep} from '@vanillamux/shared';
+import type {BackendRegistry} from './backend_registry.js';
 import type {ControlHost} from './control_host.js';
+import type {FeedNews} from './feed_news.js';
+import type {FeedRequest} from './feed_request.js';
 
 /** An entry host that has not asked for so long is not counted any more. */
 const SUBSCRIBER_TTL_MS = 10_000;
@@ -15,37 +11,6 @@
 const CURRENT_MS = 1_000;
 const MAX_FIRST_VERSION = 1_000_000_000;
 
-/** What an entry host has, and how long it waits for more. */
-export interface FeedRequest {
-  readonly entry: EntryPeer;
-  /** Number of the list of entry hosts that it has. */
-  readonly peersVersion: number;
-  readonly registryId: string;
-  readonly position: number;
-  /** Version of the published document that it has; -1 for none. */
-  readonly version: number;
-  readonly waitMs: number;
-}
-
-/** A control host as entry hosts know it. */
-export interface ControlPeer {
-  readonly address: Address;
-  readonly failureDomain: string;
-}
-
-/** What is new to an entry host. */
-export interface FeedNews extends RegistryNews {
-  /** Version of the published document that this control host has. */
-  readonly version: number;
-  /** Whether this control host follows a leader that has a quorum. */
-  readonly isCurrent: boolean;
-  /** Control hosts that are members of the group. */
-  readonly control: readonly ControlPeer[];
-  readonly peersVersion: number;
-  /** Entry hosts that ask this control host, unless the list is unchanged. */
-  readonly peers?: readonly EntryPeer[];
-}
-
 interface Subscriber {
   readonly peer: EntryPeer;
   readonly seenMs: number;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -29,12 +29,10 @@
 export {type ControlSettings} from './control_settings.js';
 export {controlSettingsSchema} from './control_settings_schema.js';
 export {ControlState} from './control_state.js';
-export {
-  EntryFeed,
-  type ControlPeer,
-  type FeedNews,
-  type FeedRequest,
-} from './entry_feed.js';
+export {type ControlPeer} from './control_peer.js';
+export {EntryFeed} from './entry_feed.js';
+export {type FeedNews} from './feed_news.js';
+export {type FeedRequest} from './feed_request.js';
 export {type PublishAnswer} from './publish_answer.js';
 export {PublishedState} from './published_state.js';
 export {PublishVerdict} from './publish_verdict.js';
--- a/packages/gateway/src/fleet/work_ledger.ts
+++ b/packages/gateway/src/fleet/work_ledger.ts
@@ -1,19 +1,10 @@
+import type {LedgerEntry} from './ledger_entry.js';
 import type {WorkItem} from './work_item.js';
 
 /** Factor on the expected duration of work that another host has placed. */
 const FOREIGN_SLACK = 1.3;
 const FOREIGN_SLACK_MS = 100;
 
-/** Work on an engine together with where it stands. */
-export interface LedgerEntry extends WorkItem {
-  readonly placedMs: number;
-  /** When the prompt is expected to be processed. */
-  prefillEndMs: number;
-  prefillDone: boolean;
-  /** When it is forgotten, for work of which no end will be heard. */
-  readonly expiresMs: number;
-}
-
 /**
  * Work placed on one engine that has not ended, with an estimate of the prompt
  * processing that is still ahead. Engines process prompts in turn.
--- a/packages/gateway/src/memory/memory_keeper.ts
+++ b/packages/gateway/src/memory/memory_keeper.ts
@@ -2,7 +2,7 @@
 import {getLogger, sleep} from '@vanillamux/shared';
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {Dialect} from '../dialect/dialect.js';
-import type {MemoryShare} from '../placement/placement_decision.js';
+import type {MemoryShare} from '../placement/memory_share.js';
 import type {HeldMemory} from './held_memory.js';
 
 /**
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -11,7 +11,7 @@
   type Result,
 } from '@vanillamux/shared';
 import type {BackendPool} from '../fleet/backend_pool.js';
-import type {PlacedWork} from '../placement/placement_decision.js';
+import type {PlacedWork} from '../placement/placed_work.js';
 import {chooseReceivers, type Receiver} from './choose_receivers.js';
 import type {PlacementNotice} from './placement_notice.js';
 import {placementNoticeSchema} from './placement_notice_schema.js';
--- a/packages/gateway/src/placement/engine_outlook.ts
+++ b/packages/gateway/src/placement/engine_outlook.ts
@@ -1,8 +1,8 @@
 import type {EngineSpec} from '../config/engine_spec.js';
 import type {Backend} from '../fleet/backend.js';
-import type {LedgerEntry} from '../fleet/work_ledger.js';
-import {lateChance} from './credit.js';
-import {passMs} from './engine_time.js';
+import type {LedgerEntry} from '../fleet/ledger_entry.js';
+import {lateChance} from './late_chance.js';
+import {passMs} from './pass_ms.js';
 
 /** What one engine has to do, and what more work would do to it. */
 export class EngineOutlook {
--- a/packages/gateway/src/placement/engine_placement.ts
+++ b/packages/gateway/src/placement/engine_placement.ts
@@ -1,11 +1,14 @@
 import type {EngineSpec} from '../config/engine_spec.js';
 import type {Backend} from '../fleet/backend.js';
 import type {WorkItem} from '../fleet/work_item.js';
-import {lateChance, stakeOf} from './credit.js';
+import {lateChance} from './late_chance.js';
+import {stakeOf} from './stake_of.js';
 import {EngineOutlook} from './engine_outlook.js';
-import {passMs, prefillMs} from './engine_time.js';
+import {passMs} from './pass_ms.js';
+import {prefillMs} from './prefill_ms.js';
 import {Placement} from './placement.js';
-import type {MemoryShare, PlacementDecision} from './placement_decision.js';
+import type {MemoryShare} from './memory_share.js';
+import type {PlacementDecision} from './placement_decision.js';
 import type {PlacementRequest} from './placement_request.js';
 
 /** Numbers of engines that are weighed; bound of the engines' protocol is 17. */
--- a/packages/gateway/src/placement/least_outstanding_placement.ts
+++ b/packages/gateway/src/placement/least_outstanding_placement.ts
@@ -1,5 +1,6 @@
 import type {Backend} from '../fleet/backend.js';
-import {Placement, placeAlone} from './placement.js';
+import {Placement} from './placement.js';
+import {placeAlone} from './place_alone.js';
 import type {PlacementDecision} from './placement_decision.js';
 import type {PlacementRequest} from './placement_request.js';
 
--- a/packages/gateway/src/placement/placement.ts
+++ b/packages/gateway/src/placement/placement.ts
@@ -1,4 +1,3 @@
-import type {Backend} from '../fleet/backend.js';
 import type {PlacementDecision} from './placement_decision.js';
 import type {PlacementRequest} from './placement_request.js';
 
@@ -7,8 +6,3 @@
   /** Returns `undefined` when no candidate can ever take the request. */
   abstract place(request: PlacementRequest): PlacementDecision | undefined;
 }
-
-/** A decision for one backend server alone. */
-export function placeAlone(backend: Backend): PlacementDecision {
-  return {backend, helpers: [], memory: [], work: []};
-}
--- a/packages/gateway/src/placement/placement_decision.ts
+++ b/packages/gateway/src/placement/placement_decision.ts
@@ -1,26 +1,7 @@
 import type {Backend} from '../fleet/backend.js';
-import type {WorkItem} from '../fleet/work_item.js';
-
-/** Work that a placement gives to one engine. */
-export interface PlacedWork {
-  readonly backend: Backend;
-  readonly item: WorkItem;
-}
-
-/** Memory of one engine that a request needs to itself. */
-export interface MemoryShare {
-  readonly backend: Backend;
-  readonly tokens: number;
-}
-
-/** What an engine placement expected, for those who ask why. */
-export interface PlacementFigures {
-  /** Prompt processing on each engine. */
-  readonly partMs: number;
-  readonly firstEventMs: number;
-  /** Credit that all requests together were expected to lose. */
-  readonly loss: number;
-}
+import type {MemoryShare} from './memory_share.js';
+import type {PlacedWork} from './placed_work.js';
+import type {PlacementFigures} from './placement_figures.js';
 
 /** Where a request goes. */
 export interface PlacementDecision {
--- a/packages/gateway/src/placement/round_robin_placement.ts
+++ b/packages/gateway/src/placement/round_robin_placement.ts
@@ -1,4 +1,5 @@
-import {Placement, placeAlone} from './placement.js';
+import {Placement} from './placement.js';
+import {placeAlone} from './place_alone.js';
 import type {PlacementDecision} from './placement_decision.js';
 import type {PlacementRequest} from './placement_request.js';
 
--- a/packages/gateway/src/request/attempt_timeouts.ts
+++ b/packages/gateway/src/request/head_timeout_ms.ts
@@ -8,9 +8,6 @@
 const MIN_PATIENCE_MS = 400;
 /** Multiple of the aimed time after which an answer is given up. */
 const GOAL_PATIENCE = 4;
-/** Multiple of the aimed pause after which a stream is given up. */
-const PAUSE_PATIENCE = 4;
-const MIN_PAUSE_TIMEOUT_MS = 1_000;
 /** First events come after the whole prompt has been processed. */
 const MIN_FIRST_EVENT_TIMEOUT_MS = 1_500;
 const FIRST_EVENT_PATIENCE = 3;
@@ -30,10 +27,3 @@
   const patienceMs = Math.max(MIN_PATIENCE_MS, GOAL_PATIENCE * route.goalMs);
   return Math.min(patienceMs, Math.max(1, leftMs * PATIENCE_SHARE));
 }
-
-/** Pause between events after which a stream is continued elsewhere. */
-export function pauseTimeoutMs({route, deadlineMs}: ClientRequest): number {
-  if (!isRepeatable(route)) return Math.max(1, deadlineMs - monotonicMs());
-  const pauseMs = PAUSE_PATIENCE * (route.pauseGoalMs ?? 0);
-  return Math.max(MIN_PAUSE_TIMEOUT_MS, pauseMs);
-}
--- /dev/null
+++ b/packages/gateway/src/request/pause_timeout_ms.ts
@@ -0,0 +1,14 @@
+import {monotonicMs} from '@vanillamux/shared';
+import {isRepeatable} from '../config/is_repeatable.js';
+import type {ClientRequest} from './client_request.js';
+
+/** Multiple of the aimed pause after which a stream is given up. */
+const PAUSE_PATIENCE = 4;
+const MIN_PAUSE_TIMEOUT_MS = 1_000;
+
+/** Pause between events after which a stream is continued elsewhere. */
+export function pauseTimeoutMs({route, deadlineMs}: ClientRequest): number {
+  if (!isRepeatable(route)) return Math.max(1, deadlineMs - monotonicMs());
+  const pauseMs = PAUSE_PATIENCE * (route.pauseGoalMs ?? 0);
+  return Math.max(MIN_PAUSE_TIMEOUT_MS, pauseMs);
+}
