fix(control): a silent voter goes, whoever leads

Cause: after a planned replacement the leader itself was stopped. The count of promotions that allowed the removal of a lost voter was lost with it, so the dead host stayed one of four voters; when a third host lost its disk, two of four were left and no member could be changed any more.

Ruled out: a lost log (the disks were intact), an election that never ends (pre-votes had no quorum to win).

Change: a discovered group removes a voter that is silent for 3 s as long as three voters are left; one that was only cut off joins again by itself.

--- a/packages/control/src/member_keeper.ts
+++ b/packages/control/src/member_keeper.ts
@@ -18,6 +18,12 @@
 const ALIVE_MS = 2_000;
 /** Most voters of a group that grows by itself; it then bears 4 losses. */
 const MAX_VOTERS = 9;
+/**
+ * Silence after which a discovered group goes on without a voter. A dead one
+ * counts towards the quorum, so that with four voters no other may be lost; one
+ * that was only cut off joins again by itself. Some times the election timeout.
+ */
+const SILENT_VOTER_MS = 3_000;
 /** A discovered group never shrinks below this on its own. */
 const MIN_VOTERS = 3;
 
@@ -37,8 +43,6 @@
  */
 export class MemberKeeper {
   private readonly joining = new Map<string, JoinRequest>();
-  /** Hosts that became voters without a lost voter having been removed. */
-  private unmatchedPromotions = 0;
 
   constructor(private readonly host: ControlHost) {}
 
@@ -100,18 +104,16 @@
     const {members} = this.host.node.status();
     const ready = members.find(member => this.isReadyLearner(member));
     if (ready) {
-      const result = await this.change(
+      await this.change(
         members.map(member =>
           member.id === ready.id ? {...member, role: MemberRole.Voter} : member,
         ),
         `promoted ${ready.id}`,
       );
-      if (result.ok) this.unmatchedPromotions++;
       return;
     }
     const replaced = members.find(member => this.isReplaced(member));
     if (replaced) {
-      this.unmatchedPromotions = Math.max(0, this.unmatchedPromotions - 1);
       await this.change(
         members.filter(({id}) => id !== replaced.id),
         `removed ${replaced.id}, which was replaced`,
@@ -146,8 +148,8 @@
     );
     const status = members.find(({id}) => id === member.id);
     const silentMs = status?.silentMs ?? 0;
-    const isMatched = this.isElastic && this.unmatchedPromotions > 0;
-    if (reborn || isMatched) return silentMs > ALIVE_MS;
+    if (reborn) return silentMs > ALIVE_MS;
+    if (this.isElastic) return silentMs > SILENT_VOTER_MS;
     return silentMs > this.host.settings.replaceAfterMs;
   }
 
--- a/packages/fleet/__tests__/discovery.test.ts
+++ b/packages/fleet/__tests__/discovery.test.ts
@@ -19,6 +19,7 @@
 const HOSTS = ['127.0.0.11', '127.0.0.12', '127.0.0.13', '127.0.0.14'];
 const SEEDS = HOSTS.slice(0, 3);
 const REPLACEMENT = '127.0.0.15';
+const SUCCESSOR = '127.0.0.16';
 
 describe('a control group that is found from seeds', () => {
   const folder = mkdtempSync(join(tmpdir(), 'vmux-discovery-'));
@@ -28,7 +29,10 @@
 
   before(async () => {
     [port] = (await pickPorts(1)) as [number];
-    const addresses = [...HOSTS, REPLACEMENT].map(host => ({host, port}));
+    const addresses = [...HOSTS, REPLACEMENT, SUCCESSOR].map(host => ({
+      host,
+      port,
+    }));
     client = new ControlClient(addresses);
     for (const host of HOSTS) start(host, true);
   });
@@ -114,6 +118,21 @@
     await waitForVoters([...HOSTS.slice(1), REPLACEMENT]);
   });
 
+  it('goes on without a leader that stops once its successor has joined', async () => {
+    const before = [...HOSTS.slice(1), REPLACEMENT, SUCCESSOR];
+    start(SUCCESSOR, false);
+    await waitForVoters(before);
+    const status = await client.callLeader(async (api, signal) => {
+      await api.declarations.current.query(undefined, {signal});
+      return api.group.status.query(undefined, {signal});
+    });
+    assert.ok(status.ok);
+    const {leaderId, members} = status.value;
+    const leader = members.find(({id}) => id === leaderId)!.address.host;
+    await processes.get(leader)!.stop('SIGTERM');
+    await waitForVoters(before.filter(host => host !== leader));
+  });
+
   it('publishes the highest version through the leader', async () => {
     const document = {version: 7, digest: 'd', text: '{}'};
     const answer = await client.callLeader((api, signal) =>
