fix(gateway): a context that needs all engines has a plan

Cause: plans were weighed for fixed numbers of engines. Where as many engines must hold a context as there are, and that number is not among them (7 engines for 1.3 M tokens), no plan was found and the process ended on the exception.

Change: the engines that hold the context are always weighed as a plan.

Figures: engine_placement.test.ts, the new case, throws before and passes after.

--- a/packages/gateway/__tests__/engine_placement.test.ts
+++ b/packages/gateway/__tests__/engine_placement.test.ts
@@ -92,6 +92,7 @@
     {promptTokens: 200_000, engines: 16, holders: 0},
     {promptTokens: 240_000, engines: 16, holders: 2},
     {promptTokens: 600_000, engines: 16, holders: 4},
+    {promptTokens: 1_300_000, engines: 7, holders: 7},
   ];
   for (const {promptTokens, engines, holders} of CONTEXTS) {
     it(`keeps ${promptTokens} tokens on ${holders} engines' memory`, () => {
--- a/packages/gateway/src/placement/engine_placement.ts
+++ b/packages/gateway/src/placement/engine_placement.ts
@@ -102,9 +102,11 @@
     const wholeMs = prefillMs(spec, request.facts.promptTokens);
     const holders = shares.map(({backend}) => backend);
     let best: Plan | undefined;
-    for (const count of ENGINE_COUNTS) {
+    // The engines that hold the context are enough for a plan of their own.
+    const counts = new Set([...ENGINE_COUNTS, Math.max(1, holders.length)]);
+    for (const count of counts) {
       if (count > outlooks.length || count < holders.length) continue;
-      if (count > 1 && wholeMs < SPLIT_FROM_MS) break;
+      if (count > 1 && wholeMs < SPLIT_FROM_MS) continue;
       const plan = this.plan(request, outlooks, holders, wholeMs, count);
       if (!best || plan.loss < best.loss) best = plan;
     }
