fix(shared): a client that sends too large a body gets the answer

Cause: the answer 413 was sent, and the connection closed, while the client was still writing; its write failed with EPIPE before it read the answer.

Change: up to 64 MiB over the limit are read and dropped before the answer.

--- a/packages/shared/src/read_body.ts
+++ b/packages/shared/src/read_body.ts
@@ -6,9 +6,15 @@
 import {VmuxError} from './vmux_error.js';
 
 /**
- * Reads the whole body of a request. Fails with `BodyTooLarge` as soon as it is
- * larger than `maxBytes`, and with `Cancelled` when the client leaves before
- * the end. The request stays open, so that it can be answered.
+ * Bytes of a body over the limit that are read and dropped. A client that is
+ * still writing when the connection closes loses the answer.
+ */
+const MAX_DROPPED_BYTES = 64 * 1_024 * 1_024;
+
+/**
+ * Reads the whole body of a request. Fails with `BodyTooLarge` when it is
+ * larger than `maxBytes`, once the client has sent it, and with `Cancelled`
+ * when the client leaves before the end.
  */
 export function readBody(
   req: IncomingMessage,
@@ -16,17 +22,17 @@
 ): Promise<Result<Buffer>> {
   const message = `request body is larger than ${maxBytes} bytes`;
   const tooLarge = fail(new VmuxError(ErrorCodes.BodyTooLarge, {message}));
-  const declared = Number(req.headers['content-length'] ?? 0);
-  if (declared > maxBytes) return Promise.resolve(tooLarge);
   return new Promise(resolve => {
     const chunks: Buffer[] = [];
     let size = 0;
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
       if (size <= maxBytes) chunks.push(chunk);
-      else resolve(tooLarge);
+      if (size > maxBytes + MAX_DROPPED_BYTES) resolve(tooLarge);
     });
-    req.on('end', () => resolve(succeed(Buffer.concat(chunks))));
+    req.on('end', () =>
+      resolve(size > maxBytes ? tooLarge : succeed(Buffer.concat(chunks))),
+    );
     const onBreak = (): void =>
       resolve(fail(new VmuxError(ErrorCodes.Cancelled)));
     req.on('error', onBreak);
