fix(gateway): the last run of a stream is waited for

Cause: a stream that is silent for four times its aimed pause is continued at another backend server.

Change: the last run has all the time that is left.

--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -181,7 +181,7 @@
           ...options,
           writer: this.writer,
           progress: this.progress,
-          pauseTimeoutMs: pauseTimeoutMs(this.request),
+          pauseTimeoutMs: pauseTimeoutMs(this.request, this.isLastRun),
         })
       : new WholeAttempt(options, this.writer);
     return attempt.run();
