fix(storage): nothing is acknowledged after a write that may have lost records

Since the log went on after any failed step, although only a refusal by a full disk leaves it intact. A write that failed otherwise dropped its records, and later ones were acknowledged behind the gap.

Change: only refusals keep the chain of steps alive. Two leftovers go: a counter that nothing read, and a second way of writing an address.

--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -1,7 +1,12 @@
 import {randomUUID} from 'node:crypto';
 import {PresenceTable} from '@vanillamux/membership';
 import {PresenceState, type Presence} from '@vanillamux/protocol';
-import {Deferred, getLogger, monotonicMs} from '@vanillamux/shared';
+import {
+  Deferred,
+  formatAddress,
+  getLogger,
+  monotonicMs,
+} from '@vanillamux/shared';
 
 /** Heartbeats that may be missing before a backend server counts as silent. */
 const MISSED_HEARTBEATS = 4;
@@ -113,7 +118,7 @@
         backend: presence.id,
         state: presence.state,
         service: presence.service,
-        address: `${presence.address.host}:${presence.address.port}`,
+        address: formatAddress(presence.address),
         incarnation: presence.incarnation,
         sequence: presence.sequence,
       });
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -11,8 +11,6 @@
   private readonly origin: string;
   private readonly idle: Connection[] = [];
   private isClosed = false;
-  /** Connections opened since the start. */
-  opened = 0;
 
   constructor({host, port}: Address) {
     this.origin = `http://${host}:${port}`;
@@ -45,7 +43,6 @@
   }
 
   private open(): Connection {
-    this.opened++;
     return new Connection(this.origin, connection => {
       const at = this.idle.indexOf(connection);
       if (at >= 0) this.idle.splice(at, 1);
--- a/packages/storage/__tests__/wal.test.ts
+++ b/packages/storage/__tests__/wal.test.ts
@@ -57,6 +57,18 @@
     assert.deepEqual(texts, ['before', 'during']);
   });
 
+  it('acknowledges nothing after a write whose records may be lost', async () => {
+    const disk = new MemoryDisk();
+    const {wal} = await openWal(disk);
+    disk.operationsLeft = 0;
+    wal.append(Buffer.from('lost'));
+    await assert.rejects(wal.sync());
+    disk.operationsLeft = Infinity;
+    wal.append(Buffer.from('later'));
+    await assert.rejects(wal.sync());
+    assert.deepEqual((await openWal(disk)).texts, []);
+  });
+
   it('goes on after a rotation that a full disk refused', async () => {
     const disk = new MemoryDisk();
     const {wal} = await openWal(disk);
--- a/packages/storage/src/wal.ts
+++ b/packages/storage/src/wal.ts
@@ -99,8 +99,13 @@
 
   private enqueue(step: () => Promise<void>): Promise<void> {
     const done = this.work.then(step);
-    // A step that fails is reported to its caller; later steps still run.
-    this.work = done.catch(() => undefined);
+    // After a refused step the log goes on as it was. Any other failure may
+    // have lost records, so that nothing later may be acknowledged.
+    this.work = done.catch((error: unknown) => {
+      if (!isDiskRefusal(error)) throw error;
+    });
+    // Each caller is told through `done`; the chain itself has no listener.
+    this.work.catch(() => undefined);
     return done;
   }
 
