fix(consensus): a power failure during a leader's write leaves no stray rejection

Cause: the leader starts the sync of a new entry without awaiting it, and nobody listened when that sync failed. In the chaos test a member is "killed" by failing its disk; when its leader had just appended an entry, for example the one that begins a term, the failure surfaced as an unhandled rejection and failed the test.

Change: failures of the tasks that nobody awaits (the leader's sync, the elector, compaction) reach one place. A running member logs the reason and throws, which ends the process as before; a stopped member only logs it.

--- a/packages/consensus/__tests__/group.test.ts
+++ b/packages/consensus/__tests__/group.test.ts
@@ -44,6 +44,20 @@
     assert.ok(results.every(({ok}) => ok));
   });
 
+  it('loses power in the middle of a write without a stray rejection', async () => {
+    await createGroup();
+    const stray: unknown[] = [];
+    const note = (reason: unknown): void => void stray.push(reason);
+    process.on('unhandledRejection', note);
+    const leader = group.leader()!;
+    const proposed = leader.node!.propose('cut off');
+    await group.crash(leader.member.id);
+    assert.equal((await proposed).ok, false);
+    await sleep(TEST_TIMING.heartbeatMs);
+    process.off('unhandledRejection', note);
+    assert.deepEqual(stray, []);
+  });
+
   it('elects another leader after a crash and keeps what it acknowledged', async () => {
     await createGroup();
     await group.commit('before');
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -20,6 +20,8 @@
   readonly timing: RaftTiming;
   readonly readSnapshot: () => Promise<Snapshot>;
   readonly onCommit: () => void;
+  /** Takes the error of a write that may have lost entries. */
+  readonly onStorageFailure: (error: unknown) => void;
 }
 
 interface RunningReplicator {
@@ -59,7 +61,10 @@
     state.log.put(entry);
     state.storage.appendEntry(entry);
     this.notifyPeers();
-    void state.storage.sync().then(() => this.onDurable(index));
+    state.storage
+      .sync()
+      .then(() => this.onDurable(index))
+      .catch(this.options.onStorageFailure);
     return entry;
   }
 
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -106,7 +106,9 @@
 
   /** Starts to take part in elections. */
   start(): void {
-    void this.elector.run(this.stopping.signal);
+    this.elector
+      .run(this.stopping.signal)
+      .catch((error: unknown) => this.onStorageFailure(error));
   }
 
   /** Stops every task and closes the storage. */
@@ -254,6 +256,7 @@
       timing: this.timing,
       readSnapshot: async () => this.takeSnapshot(),
       onCommit: () => this.applyCommitted(),
+      onStorageFailure: error => this.onStorageFailure(error),
     });
     this.leader.start();
     this.leader.append(EntryKind.Noop, '');
@@ -314,7 +317,7 @@
     if ((length < limit && !isLarge) || this.compacting) return;
     this.compacting = this.compact()
       .catch((error: unknown) => {
-        if (!isDiskRefusal(error)) throw error;
+        if (!isDiskRefusal(error)) return this.onStorageFailure(error);
         const reason = (error as Error).message;
         log.warn('The disk refuses a snapshot; trying again.', {reason});
       })
@@ -335,6 +338,20 @@
     await storage.dropCovered(raftLog, () => this.state.currentBallot());
   }
 
+  /**
+   * A write that may have lost entries ends the process: nothing later may be
+   * acknowledged. A member that has been stopped acknowledges nothing anyway.
+   */
+  private onStorageFailure(error: unknown): void {
+    const reason = error instanceof Error ? error.message : String(error);
+    if (this.stopping.signal.aborted) {
+      log.warn('A write failed after the stop.', {reason});
+      return;
+    }
+    log.error('A write failed; this member cannot go on.', {reason});
+    throw error;
+  }
+
   private takeSnapshot(): Snapshot {
     const {log: raftLog} = this.state;
     const index = this.appliedIndex;
