--- a/packages/gateway/src/placement/placements.ts
+++ b/packages/gateway/src/placement/placements.ts
@@ -10,13 +10,17 @@
   private readonly plain: Placement;
   private readonly engines: Placement;
 
-  constructor(name: PlacementName, failureDomain: string) {
-    const least = new LeastOutstandingPlacement(failureDomain);
+  constructor(
+    name: PlacementName,
+    failureDomain: string,
+    draw: () => number = Math.random,
+  ) {
+    const least = new LeastOutstandingPlacement(failureDomain, draw);
     this.plain =
       name === PlacementName.RoundRobin ? new RoundRobinPlacement() : least;
     this.engines =
       name === PlacementName.EngineTime
-        ? new EnginePlacement(failureDomain)
+        ? new EnginePlacement(failureDomain, draw)
         : this.plain;
   }
 
--- /dev/null
+++ b/packages/load/__tests__/day.test.ts
@@ -0,0 +1,46 @@
+import assert from 'node:assert/strict';
+import {fileURLToPath} from 'node:url';
+import {describe, it} from 'node:test';
+import {PlacementName} from '@vanillamux/gateway';
+import {loadSettings} from '@vanillamux/shared';
+import {comparePlacements} from '../src/day/compare_placements.js';
+import type {DaySpec} from '../src/day/day_spec.js';
+import {daySpecSchema} from '../src/day/day_spec_schema.js';
+import {playDay} from '../src/day/play_day.js';
+
+const SEEDS = [1, 2, 3];
+const SITES = ['poldtoetus', 'cobranzas'];
+
+async function loadDay(site: string): Promise<DaySpec> {
+  const path = `../../../../examples/${site}/days/heavy.yaml`;
+  const file = fileURLToPath(new URL(path, import.meta.url));
+  const spec = await loadSettings(file, daySpecSchema);
+  assert.ok(spec.ok, spec.ok ? '' : spec.error.message);
+  return spec.value;
+}
+
+describe('a virtual day', () => {
+  it('repeats with the same seed and differs with another', async () => {
+    const spec = {...(await loadDay('poldtoetus')), seconds: 6};
+    const play = (seed: number) =>
+      playDay({spec, seed, placement: PlacementName.EngineTime});
+    assert.deepEqual(play(7), play(7));
+    assert.notDeepEqual(play(7), play(8));
+  });
+
+  for (const site of SITES) {
+    it(`on ${site} serves every kind better than the baselines`, async () => {
+      const spec = await loadDay(site);
+      const [roundRobin, least, ours] = comparePlacements({spec, seeds: SEEDS});
+      assert.equal(ours!.placement, PlacementName.EngineTime);
+      for (const {placement, summary} of [roundRobin!, least!]) {
+        assert.ok(ours!.summary.share > summary.share, placement);
+        for (const [at, kind] of ours!.summary.classes.entries()) {
+          const theirs = summary.classes[at]!;
+          assert.equal(kind.name, theirs.name);
+          assert.ok(kind.share > theirs.share, `${kind.name}, ${placement}`);
+        }
+      }
+    });
+  }
+});
--- a/packages/load/src/bin/vmux_load.ts
+++ b/packages/load/src/bin/vmux_load.ts
@@ -1,6 +1,10 @@
 import {writeFileSync} from 'node:fs';
+import {PlacementName} from '@vanillamux/gateway';
 import {loadSettings, VERSION, type Address} from '@vanillamux/shared';
 import {cac} from 'cac';
+import {comparePlacements} from '../day/compare_placements.js';
+import {daySpecSchema} from '../day/day_spec_schema.js';
+import {printComparison} from '../day/print_comparison.js';
 import {loadSpecSchema} from '../load_spec_schema.js';
 import {renderReport} from '../render_report.js';
 import {runLoad} from '../run_load.js';
@@ -15,6 +19,12 @@
   readonly prefillRate: number;
 }
 
+interface PlayFlags {
+  readonly days: number;
+  readonly seed: number;
+  readonly placement?: string;
+}
+
 const cli = cac('vmux-load');
 cli
   .command('<spec>', 'Run an experiment and print its result as JSON')
@@ -24,6 +34,12 @@
     default: DEFAULT_PREFILL_RATE,
   })
   .action(run);
+cli
+  .command('play <day>', 'Play a virtual day with each placement')
+  .option('--days <count>', 'Days with other arrivals', {default: 3})
+  .option('--seed <seed>', 'Seed of the first day', {default: 1})
+  .option('--placement <name>', Object.values(PlacementName).join(', '))
+  .action(play);
 cli.help();
 cli.version(VERSION);
 cli.parse();
@@ -44,6 +60,21 @@
   if (flags.report) writeFileSync(flags.report, renderReport(file, result));
 }
 
+async function play(file: string, flags: PlayFlags): Promise<void> {
+  const spec = await loadSettings(file, daySpecSchema);
+  if (!spec.ok) return refuse(spec.error.message);
+  const known = Object.values(PlacementName);
+  const placements = flags.placement
+    ? known.filter(name => name === flags.placement)
+    : known;
+  if (placements.length === 0) {
+    return refuse(`--placement: expected one of ${known.join(', ')}`);
+  }
+  const seeds = Array.from({length: flags.days}, (_, at) => flags.seed + at);
+  const results = comparePlacements({spec: spec.value, seeds, placements});
+  process.stdout.write(printComparison(results));
+}
+
 function parseAddresses(text: string): Address[] {
   return text
     .split(',')
--- /dev/null
+++ b/packages/load/src/day/day_outcome.ts
@@ -0,0 +1,16 @@
+import type {DayArrival} from './day_arrival.js';
+
+/** What became of one request of a virtual day. */
+export interface DayOutcome {
+  readonly arrival: DayArrival;
+  /** Time to the first event at the client; absent when none came. */
+  firstEventMs?: number;
+  /** Longest pause between events. */
+  longestPauseMs: number;
+  /** Whether the whole answer came before the deadline. */
+  isWhole: boolean;
+  /** Engines that processed its prompt. */
+  engines: number;
+  /** First event that the placement expected. */
+  expectedMs?: number;
+}
