perf(gateway): hosts tell each other when placed work has ended

Cause: work of other hosts was forgotten at its expected end, and only early ends were told.

Change: each end is told, with the ids of the engines, so that the receiver no longer looks through all of them. The time after which work is forgotten without such a notice goes from 1.3 to 3 times the expected one, for lost datagrams.

--- /dev/null
+++ b/packages/gateway/__tests__/peer_notices.test.ts
@@ -0,0 +1,62 @@
+import assert from 'node:assert/strict';
+import {afterEach, describe, it} from 'node:test';
+import {monotonicMs, sleep} from '@vanillamux/shared';
+import {BackendPool} from '../src/fleet/backend_pool.js';
+import {PeerNotices} from '../src/peers/peer_notices.js';
+import {createPresence, createWork} from './create_backend.js';
+import {freePort} from './free_port.js';
+
+const POLL_MS = 5;
+const WAIT_LIMIT_MS = 5_000;
+const HOST = '127.0.0.1';
+
+interface Peer {
+  readonly id: string;
+  readonly backends: BackendPool;
+  readonly notices: PeerNotices;
+}
+
+describe('PeerNotices', () => {
+  const peers: Peer[] = [];
+
+  afterEach(() => {
+    for (const {notices} of peers.splice(0)) notices.close();
+  });
+
+  async function createPeers(ids: readonly string[]): Promise<Peer[]> {
+    const entries = [];
+    for (const id of ids) {
+      const address = {host: HOST, port: await freePort(HOST)};
+      const backends = new BackendPool();
+      backends.apply([createPresence({id: 'engine'})]);
+      const entry = {id, failureDomain: 'fd-a', address};
+      const notices = new PeerNotices({...entry, backends});
+      const bound = await notices.listen();
+      assert.ok(bound.ok);
+      entries.push(entry);
+      peers.push({id, backends, notices});
+    }
+    for (const {notices} of peers) notices.replacePeers(entries);
+    return peers;
+  }
+
+  async function until(check: () => boolean): Promise<void> {
+    const endMs = monotonicMs() + WAIT_LIMIT_MS;
+    while (!check()) {
+      assert.ok(monotonicMs() < endMs, 'it did not happen in time');
+      await sleep(POLL_MS);
+    }
+  }
+
+  it('tells of work that is placed and of its end', async () => {
+    const [teller, hearer] = await createPeers(['a', 'b']);
+    const backend = teller!.backends.get('engine')!;
+    const heard = hearer!.backends.get('engine')!.work;
+    const isKnown = () => heard.entries(monotonicMs()).length > 0;
+    const item = createWork({tokens: 5_000, decodeMs: 60_000});
+    teller!.notices.tell('r/1', [{backend, item}]);
+    await until(isKnown);
+    teller!.notices.tellEnd('r/1', [{backend, item}]);
+    await until(() => !isKnown());
+  });
+});
--- a/packages/gateway/src/fleet/work_ledger.ts
+++ b/packages/gateway/src/fleet/work_ledger.ts
@@ -1,8 +1,12 @@
 import type {LedgerEntry} from './ledger_entry.js';
 import type {WorkItem} from './work_item.js';
 
-/** Factor on the expected duration of work that another host has placed. */
-const FOREIGN_SLACK = 1.3;
+/**
+ * Factor on the expected time of decoding by other hosts' work, after which it
+ * is forgotten. Their notice of its end comes earlier, unless it is lost;
+ * decoding lasts longer than expected where prompts are processed beside it.
+ */
+const FOREIGN_SLACK = 3;
 const FOREIGN_SLACK_MS = 100;
 
 /**
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -79,12 +79,23 @@
         item.goalMs,
         item.stake,
       ]),
+      ended: [],
     });
   }
 
-  /** Tells the other hosts that work has ended before it was expected to. */
-  tellEnd(work: string): void {
-    this.broadcast({from: this.options.id, work, relay: false, placed: []});
+  /**
+   * Tells the other hosts that work has ended. They would otherwise count its
+   * memory and its stream for as long as they had expected it to last.
+   */
+  tellEnd(work: string, placed: readonly PlacedWork[]): void {
+    if (placed.length === 0) return;
+    this.broadcast({
+      from: this.options.id,
+      work,
+      relay: false,
+      placed: [],
+      ended: placed.map(({backend}) => backend.presence.id),
+    });
   }
 
   /** Closes the socket. */
@@ -101,10 +112,8 @@
     const notice = parseNotice(bytes);
     if (!notice || notice.from === this.options.id) return;
     const nowMs = monotonicMs();
-    if (notice.placed.length === 0) {
-      for (const {work} of this.options.backends.list()) {
-        work.remove(notice.work, nowMs);
-      }
+    for (const id of notice.ended) {
+      this.options.backends.get(id)?.work.remove(notice.work, nowMs);
     }
     for (const [id, incarnation, ...rest] of notice.placed) {
       const backend = this.options.backends.get(id);
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -14,14 +14,13 @@
   amount,
 ]);
 
-/**
- * Work that an entry host has placed, as it tells the others. Without any
- * placed work it says that the work has ended early.
- */
+/** Work that an entry host has placed, or that has ended there. */
 export const placementNoticeSchema = z.object({
   from: z.string(),
   work: z.string(),
   /** Whether the receiver tells the hosts of its failure domain. */
   relay: z.boolean(),
   placed: z.array(placedSchema),
+  /** Backend servers on which the work has ended. */
+  ended: z.array(z.string()).default([]),
 });
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -56,10 +56,7 @@
     this.request.signal.addEventListener('abort', onAbort, {once: true});
     this.beginWork();
     try {
-      const result = await this.follow(exchange);
-      const isWhole = result.end === AttemptEnd.Delivered;
-      if (!isWhole) this.parts.notices.tellEnd(this.workId);
-      return result;
+      return await this.follow(exchange);
     } finally {
       this.request.signal.removeEventListener('abort', onAbort);
       exchange.cancel('attempt ended');
@@ -177,6 +174,7 @@
     for (const {backend} of this.decision.work) {
       backend.work.remove(this.workId, monotonicMs());
     }
+    this.parts.notices.tellEnd(this.workId, this.decision.work);
   }
 
   private async follow(exchange: Exchange): Promise<AttemptResult> {
--- a/packages/load/__tests__/day.test.ts
+++ b/packages/load/__tests__/day.test.ts
@@ -7,6 +7,7 @@
 import type {DaySpec} from '../src/day/day_spec.js';
 import {daySpecSchema} from '../src/day/day_spec_schema.js';
 import {playDay} from '../src/day/play_day.js';
+import {summarizeDay} from '../src/day/summarize_day.js';
 
 const SEEDS = [1, 2, 3];
 const SITES = ['poldtoetus', 'cobranzas'];
@@ -42,5 +43,16 @@
         }
       }
     });
+
+    it(`on ${site} gains by what hosts tell each other`, async () => {
+      const spec = await loadDay(site);
+      const [told, alone] = [true, false].map(notices => {
+        const placement = PlacementName.EngineTime;
+        return summarizeDay(
+          SEEDS.flatMap(seed => playDay({spec, seed, placement, notices})),
+        );
+      });
+      assert.ok(told!.share > alone!.share, `${told!.share}, ${alone!.share}`);
+    });
   }
 });
--- a/packages/load/src/day/play_day.ts
+++ b/packages/load/src/day/play_day.ts
@@ -217,7 +217,7 @@
     }
   }
 
-  /** The answer is whole at its host. */
+  /** The answer is whole at its host, which tells the others. */
   private end(
     host: VirtualHost,
     id: string,
@@ -229,6 +229,11 @@
       this.engineOf(share.backend).release(share.tokens);
     }
     for (const placed of work) placed.backend.work.remove(id, nowMs);
+    this.tell(host, other => {
+      for (const placed of work) {
+        viewOf(other, placed.backend).work.remove(id, this.clock.nowMs);
+      }
+    });
   }
 
   private tellOthers(
