perf(gateway): waiting costs more, and short streams gather on a few engines

A prompt that is late in any case went whole to one engine (221,000 tokens: 4.7 s there) and held up its streams and all that came behind, as 1 ms of waiting counted for 0.0005 credit only. And short streams spread over all engines, so that every part of a long prompt held one up.

Change: CREDIT_PER_MS 0.0005 -> 0.004; work on an engine without streams costs 0.2 credit.

--- a/packages/gateway/__tests__/engine_placement.test.ts
+++ b/packages/gateway/__tests__/engine_placement.test.ts
@@ -76,6 +76,28 @@
     );
   });
 
+  it('gathers short streams, so that engines stay free for long prompts', () => {
+    const backends = createBackends(8);
+    for (let number = 0; number < 6; number++) {
+      const decision = place(backends, {promptTokens: 2_000})!;
+      for (const {backend, item} of decision.work) {
+        backend.work.add(`note-${number}`, item, 0);
+        backend.work.markPrefilled(`note-${number}`, 0);
+      }
+    }
+    const used = backends.filter(({work}) => work.entries(0).length > 0);
+    assert.ok(used.length <= 2, `streams on ${used.length} engines`);
+  });
+
+  it('spreads a prompt that is late in any case', () => {
+    const decision = place(createBackends(16), {
+      promptTokens: 200_000,
+      goalMs: 100,
+    })!;
+    const {partMs} = decision.figures!;
+    assert.ok(partMs < 500, `a part takes ${partMs} ms`);
+  });
+
   it('counts streams of other hosts as begun when they were due', () => {
     const backends = createBackends(2);
     const stream = createWork({prefillMs: 20, decodeMs: 60_000, stake: 5});
--- a/packages/gateway/src/placement/engine_outlook.ts
+++ b/packages/gateway/src/placement/engine_outlook.ts
@@ -28,6 +28,11 @@
     this.basePassMs = passMs(spec, this.sequences, this.tokens);
   }
 
+  /** Whether no stream would be held up by more work. */
+  get isFree(): boolean {
+    return this.streams.length === 0;
+  }
+
   /** Expected time to the first event of work whose prompt takes `ms` here. */
   firstEventMs(ms: number): number {
     const isBusy = this.streams.length > 0;
--- a/packages/gateway/src/placement/engine_placement.ts
+++ b/packages/gateway/src/placement/engine_placement.ts
@@ -17,12 +17,20 @@
 const SPLIT_FROM_MS = 40;
 /** Credit that one more engine must bring. */
 const ENGINE_COST = 0.002;
-/** Credit of a millisecond until the first event, between equal choices. */
-const CREDIT_PER_MS = 0.0005;
+/**
+ * Credit of a millisecond until the first event. It also keeps prompts that are
+ * late in any case from blocking one engine for seconds.
+ */
+const CREDIT_PER_MS = 0.004;
 /** Credit that bytes to another failure domain cost. */
 const REMOTE_COST = 0.006;
 /** Credit of a request to an engine that fails all of them. */
 const FAILURE_COST = 2;
+/**
+ * Credit that work costs on an engine without streams. Those are kept for long
+ * prompts, which hold up every stream beside them; short work gathers elsewhere.
+ */
+const IDLE_ENGINE_COST = 0.2;
 /** Keeps hosts with the same view from choosing alike. */
 const JITTER_CREDIT = 0.004;
 /** Share of an engine's memory that one reservation may take. */
@@ -153,6 +161,7 @@
       outlook.harm(partMs) +
       ENGINE_COST +
       (isRemote ? REMOTE_COST : 0) +
+      (outlook.isFree ? IDLE_ENGINE_COST : 0) +
       FAILURE_COST * failures.failureRate(nowMs);
     // Engines that hold the context are part of every plan.
     if (holders.includes(outlook.backend)) {
--- a/packages/load/__tests__/day.test.ts
+++ b/packages/load/__tests__/day.test.ts
@@ -10,6 +10,8 @@
 import {summarizeDay} from '../src/day/summarize_day.js';
 
 const SEEDS = [1, 2, 3];
+/** Share of all credit that the placement is to earn on heavy days. */
+const TARGET_SHARE = 0.9;
 const SITES = ['poldtoetus', 'cobranzas'];
 
 async function loadDay(site: string): Promise<DaySpec> {
@@ -44,6 +46,15 @@
       }
     });
 
+    it(`on ${site} earns nine tenths of the credit of a heavy day`, async () => {
+      const spec = await loadDay(site);
+      const placements = [PlacementName.EngineTime];
+      const seeds = [1, 2, 3, 4, 5, 6, 7, 8];
+      const [ours] = comparePlacements({spec, seeds, placements});
+      const {share} = ours!.summary;
+      assert.ok(share >= TARGET_SHARE, `share ${share}`);
+    });
+
     it(`on ${site} gains by what hosts tell each other`, async () => {
       const spec = await loadDay(site);
       const [told, alone] = [true, false].map(notices => {
