fix(gateway): the record has a bound while control hosts are away

The buffer's bound of 100,000 entries is also more than a host's whole share of memory for control.

Change: the bound is an option of the recorder, 20,000 entries in a gateway. When it is reached, requests are refused as not run, with a time to return, and such refusals stay out of the record; the log has them.

--- a/packages/control/src/recorder.ts
+++ b/packages/control/src/recorder.ts
@@ -19,7 +19,7 @@
 const RETRY_DELAY_MS = 200;
 const IDLE_CHECK_MS = 1_000;
 const MAX_BATCH_ENTRIES = 1_024;
-const MAX_BUFFERED_ENTRIES = 100_000;
+const DEFAULT_MAX_ENTRIES = 100_000;
 const CALL_TIMEOUT_MS = 2_000;
 /** Control hosts that must have an entry, so that one lost disk loses none. */
 const WANTED_COPIES = 2;
@@ -34,6 +34,8 @@
   readonly sink: RecordSink;
   /** Time for which entries are collected before they are sent. */
   readonly batchDelayMs?: number;
+  /** Entries that may wait here while no control host takes them. */
+  readonly maxEntries?: number;
 }
 
 /** An entry with the control hosts that have synced it. */
@@ -59,10 +61,12 @@
   private buffer: BufferedEntry[] = [];
   private readonly deliveries = new Map<string, Delivery>();
   private readonly batchDelayMs: number;
+  private readonly maxEntries: number;
 
   constructor(private readonly options: RecorderOptions) {
     this.chain = `${options.entryId}/${Date.now()}`;
     this.batchDelayMs = options.batchDelayMs ?? DEFAULT_BATCH_DELAY_MS;
+    this.maxEntries = options.maxEntries ?? DEFAULT_MAX_ENTRIES;
     this.add({kind: RecordKind.Opened});
   }
 
@@ -71,9 +75,9 @@
    * refused rather than run without a record.
    */
   get hasRoom(): boolean {
-    if (this.buffer.length < MAX_BUFFERED_ENTRIES) return true;
+    if (this.buffer.length < this.maxEntries) return true;
     this.buffer = this.buffer.filter(({copies}) => copies.size === 0);
-    return this.buffer.length < MAX_BUFFERED_ENTRIES;
+    return this.buffer.length < this.maxEntries;
   }
 
   /** Entries that no control host has confirmed yet. */
--- /dev/null
+++ b/packages/gateway/__tests__/record_room.test.ts
@@ -0,0 +1,67 @@
+import assert from 'node:assert/strict';
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {describe, it} from 'node:test';
+import {Recorder, RecordSink} from '@vanillamux/control';
+import {
+  ErrorCodes,
+  fail,
+  HybridClock,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import {RouteTable} from '../src/config/route_table.js';
+import type {GatewayParts} from '../src/request/gateway_parts.js';
+import {RequestHandler} from '../src/request/request_handler.js';
+import {RequestRecord} from '../src/request/request_record.js';
+import {GatewayMetrics} from '../src/server/gateway_metrics.js';
+import {createConfig, createRoute} from './create_config.js';
+
+/** Control hosts that take nothing. */
+class ClosedSink extends RecordSink {
+  hosts(): readonly string[] {
+    return ['a'];
+  }
+
+  async append(): Promise<Result<void>> {
+    return fail(new VmuxError(ErrorCodes.NoQuorum));
+  }
+}
+
+describe('a gateway whose record is full', () => {
+  it('refuses requests as not run, and the record does not grow', async () => {
+    const recorder = new Recorder({
+      entryId: 'entry',
+      failureDomain: 'fd-a',
+      clock: new HybridClock(),
+      sink: new ClosedSink(),
+      maxEntries: 1,
+    });
+    const table = new RouteTable(
+      createConfig({routes: [createRoute({host: '127.0.0.1'})]}),
+    );
+    const parts = {
+      dialect: {
+        readRequest: () => ({attemptId: 'r'}),
+        writeAnswer: () => ({}),
+      },
+      config: {waitForFirst: async () => table, version: 1},
+      record: new RequestRecord(recorder),
+      metrics: new GatewayMetrics(),
+    } as unknown as GatewayParts;
+    const handler = new RequestHandler(parts);
+    const server = createServer((req, res) => void handler.handle(req, res));
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+    const {port} = server.address() as AddressInfo;
+    const before = recorder.undelivered.length;
+    for (const path of ['/a', '/b']) {
+      const answer = await fetch(`http://127.0.0.1:${port}${path}`);
+      assert.equal(answer.status, 503);
+      assert.ok(Number(answer.headers.get('retry-after')) > 0);
+      assert.match(await answer.text(), /record of requests is full/);
+    }
+    assert.equal(recorder.undelivered.length, before);
+    server.close();
+    server.closeAllConnections();
+  });
+});
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -12,6 +12,8 @@
 
 /** Time after which a client may come back to a host that has just started. */
 const NOT_READY_RETRY_MS = 500;
+/** Time in which control hosts that return take a part of the record. */
+const RECORD_FULL_RETRY_MS = 1_000;
 /**
  * Time for which a request waits for the first configuration. After a restart
  * of every host, the control group needs about a second to elect a leader.
@@ -66,6 +68,12 @@
       const reason = 'no workspace has this key';
       return this.refuse(res, facts, {status: 401, reason});
     }
+    if (!parts.record.hasRoom) {
+      const reason =
+        'the record of requests is full until control hosts return';
+      const retryAfterMs = RECORD_FULL_RETRY_MS;
+      return this.refuse(res, facts, {status: 503, reason, retryAfterMs});
+    }
     const body = await readBody(req, table.config.limits.maxBodyBytes);
     if (!body.ok) {
       if (body.error.code !== ErrorCodes.BodyTooLarge) return;
--- a/packages/gateway/src/request/request_record.ts
+++ b/packages/gateway/src/request/request_record.ts
@@ -22,13 +22,25 @@
 export class RequestRecord {
   constructor(private readonly recorder: Recorder) {}
 
+  /**
+   * Whether another request can be recorded. While no control host takes the
+   * record, requests are refused at some point rather than run without it.
+   */
+  get hasRoom(): boolean {
+    return this.recorder.hasRoom;
+  }
+
   /** A request was matched and will be placed. */
   noteAdmitted(request: ClientRequest): void {
     this.recorder.add({kind: RecordKind.Admitted, ...describe(request)});
   }
 
-  /** A request was refused before it was matched with a route. */
+  /**
+   * A request was refused before it was admitted. Without room, the refusal is
+   * in the log alone, as it would make the record grow without bound.
+   */
   noteRefused(requestId: string, status: number, version: number): void {
+    if (!this.recorder.hasRoom) return;
     const code = `status_${status}`;
     const ran = RunState.NotRun;
     const kind = RecordKind.Refused;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -40,6 +40,11 @@
 const DRAIN_CHECK_MS = 50;
 /** Time for which entries of the record are collected; syncs are few then. */
 const RECORD_BATCH_MS = 250;
+/**
+ * Entries of the record that wait while control hosts are away; about 1 KB
+ * each, a third of the memory that a host has for its control work.
+ */
+const MAX_RECORD_ENTRIES = 20_000;
 /** Time for the last entries of the record, within the exit margin. */
 const RECORD_FLUSH_MS = 400;
 /** Idle time after which a connection is closed before a limit is known. */
@@ -100,6 +105,7 @@
       clock: new HybridClock(),
       sink: this.links,
       batchDelayMs: RECORD_BATCH_MS,
+      maxEntries: MAX_RECORD_ENTRIES,
     });
     this.notices = new PeerNotices({
       id: settings.id,
