fix(shared): a process that stops writes its last log lines first

Cause: Node 20 writes to a pipe when its reader has room, and process.exit drops what still waits: of 1 MB written at once a reader got 64 KB. The lines of a stop are the ones that are lost.

Change: runBinary waits up to 100 ms for standard output before it exits.

--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -11,6 +11,7 @@
 export {fail} from './fail.js';
 export {findFieldLine} from './find_field_line.js';
 export {formatAddress} from './format_address.js';
+export {flushOutput} from './flush_output.js';
 export {getLogger} from './get_logger.js';
 export {HybridClock} from './hybrid_clock.js';
 export {invariant} from './invariant.js';
--- a/packages/shared/src/run_binary.ts
+++ b/packages/shared/src/run_binary.ts
@@ -2,6 +2,7 @@
 import type {z} from 'zod';
 import {configureLogging} from './configure_logging.js';
 import {Deferred} from './deferred.js';
+import {flushOutput} from './flush_output.js';
 import {getLogger} from './get_logger.js';
 import {loadSettings} from './load_settings.js';
 import type {LogFormat} from './log_format.js';
@@ -14,6 +15,9 @@
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_START_FAILED = 3;
 
+/** Time for the last log lines of a process that stops. */
+const LOG_FLUSH_MS = 100;
+
 /** The settings that every long-running binary has. */
 interface CommonSettings {
   readonly id: string;
@@ -103,5 +107,6 @@
   getLogger('start').info('Stopping.', {signal: name});
   watching.abort();
   await started.value.stop();
+  await flushOutput(LOG_FLUSH_MS);
   process.exit(0);
 }
