feat(gateway): metrics of first events, pauses, repeats and beliefs, at an address of the settings

Cause: an engineer on call could see how many requests ended how, but not how late first events and pauses were, what the retry budget denied, or what a host believed.

Change: histograms of the first event and of the longest pause by outcome, counters of failed attempts and of repeats granted and denied, gauges of configuration, control hosts, record and backend servers by believed state. Control hosts show the published version, leader, members and backend servers.

Figures: gateway_metrics.test.ts, 16 cases, one of which holds the operators' page against the names in the code.

Labels are kinds, outcomes and services; none grows with the workspaces.

--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -50,6 +50,12 @@
     this.table = new PresenceTable(this.now);
   }
 
+  /** Backend servers whose life has not ended. */
+  get size(): number {
+    return this.table.list().filter(({state}) => state !== PresenceState.Gone)
+      .length;
+  }
+
   /** Takes a heartbeat. Returns whether it was newer than what was known. */
   hear(report: Presence): boolean {
     const before = this.table.get(report.id);
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -1,4 +1,5 @@
 import {createServer, type Server} from 'node:http';
+import {RaftRole} from '@vanillamux/consensus';
 import {serveRpc} from '@vanillamux/rpc';
 import {
   EventKind,
@@ -20,6 +21,7 @@
 import {RegisterKeeper} from './register_keeper.js';
 
 const log = getLogger('control');
+const MS_PER_SECOND = 1_000;
 /** Coarse, because each sample wakes an idle process. */
 const EVENT_LOOP_SAMPLE_MS = 200;
 
@@ -31,7 +33,7 @@
     readonly host: ControlHost,
     readonly publisher: Publisher,
     readonly backends: BackendRegistry,
-    private readonly server: Server,
+    private readonly servers: readonly Server[],
     private readonly closeRpc: () => void,
   ) {}
 
@@ -43,9 +45,9 @@
     if (!opened.ok) return opened;
     const host = opened.value;
     const keeper = new MemberKeeper(host);
-    const server = createHttpServer(host);
     const publisher = new Publisher(host);
     const backends = new BackendRegistry(settings);
+    const server = createHttpServer(host, backends);
     const feed = new EntryFeed(host, backends);
     const router = createControlRouter({host, keeper, publisher, feed});
     const closeRpc = serveRpc(server, router);
@@ -54,11 +56,22 @@
       await host.close();
       return bound;
     }
+    const servers = [server];
+    if (settings.metrics) {
+      const metricsServer = createHttpServer(host, backends);
+      const served = await listen(metricsServer, settings.metrics);
+      if (!served.ok) {
+        server.close();
+        await host.close();
+        return served;
+      }
+      servers.push(metricsServer);
+    }
     const running = new ControlServer(
       host,
       publisher,
       backends,
-      server,
+      servers,
       closeRpc,
     );
     host.timeline.add(EventKind.Started, `control host ${settings.id}`);
@@ -82,8 +95,10 @@
     this.stopping.abort();
     this.closeRpc();
     this.publisher.close();
-    this.server.close();
-    this.server.closeAllConnections();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
     await this.host.close();
   }
 }
@@ -99,8 +114,11 @@
   }
 }
 
-function createHttpServer(host: ControlHost): Server {
-  const registry = createMetrics(host);
+function createHttpServer(
+  host: ControlHost,
+  backends: BackendRegistry,
+): Server {
+  const registry = createMetrics(host, backends);
   return createServer((req, res) => {
     if (req.url === '/healthz') {
       res.end('ok\n');
@@ -112,7 +130,7 @@
   });
 }
 
-function createMetrics(host: ControlHost): Registry {
+function createMetrics(host: ControlHost, backends: BackendRegistry): Registry {
   const registry = new Registry();
   collectDefaultMetrics({
     register: registry,
@@ -130,6 +148,31 @@
       'Version of the declarations in force.',
       () => host.machine.declared.current.version,
     ],
+    [
+      'vmux_control_published_version',
+      'Version of the published document; -1 before the first.',
+      () => host.machine.published.version,
+    ],
+    [
+      'vmux_control_is_leader',
+      '1 on the leader of the group.',
+      () => Number(host.node.status().role === RaftRole.Leader),
+    ],
+    [
+      'vmux_control_members',
+      'Members of the group, learners included.',
+      () => host.node.status().members.length,
+    ],
+    [
+      'vmux_control_leader_silent_seconds',
+      'Time since the leader was heard; 0 on a leader with a lease.',
+      () => host.node.status().leaderSilentMs / MS_PER_SECOND,
+    ],
+    [
+      'vmux_control_backends',
+      'Backend servers that report to this host and have not left.',
+      () => backends.size,
+    ],
   ];
   for (const [name, help, read] of gauges) {
     new Gauge({
--- a/packages/control/src/control_settings_schema.ts
+++ b/packages/control/src/control_settings_schema.ts
@@ -34,6 +34,8 @@
     advertise: addressSchema.optional(),
     /** Where operators and backend servers call, in a deployment's protocol. */
     api: addressSchema.optional(),
+    /** Where metrics are served besides `listen`. */
+    metrics: addressSchema.optional(),
     dataFolder: z.string().min(1),
     /** Control hosts that form the group when all their disks are empty. */
     group: z.array(hostSchema).default([]),
--- /dev/null
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -0,0 +1,76 @@
+import assert from 'node:assert/strict';
+import {readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {describe, it} from 'node:test';
+import {PresenceState} from '@vanillamux/protocol';
+import {AttemptEnd} from '../src/request/attempt_end.js';
+import {GatewayMetrics} from '../src/server/gateway_metrics.js';
+import {createRoute} from './create_config.js';
+
+const PAGE = fileURLToPath(
+  new URL('../../../../docs/operators/metrics.md', import.meta.url),
+);
+
+/** Metrics after one request of each sort. */
+async function render(): Promise<string> {
+  const metrics = new GatewayMetrics();
+  metrics.watch({
+    inFlight: () => 3,
+    configVersion: () => 7,
+    configAgeS: () => 1.5,
+    controlHosts: () => 2,
+    recordWaiting: () => 9,
+    backends: () => [
+      {service: 'notes', state: PresenceState.Ready, isPaused: false},
+      {service: 'notes', state: PresenceState.Ready, isPaused: false},
+      {service: 'notes', state: PresenceState.Draining, isPaused: true},
+    ],
+  });
+  metrics.noteEnd(createRoute({isStream: true}), AttemptEnd.Delivered, {
+    durationMs: 900,
+    firstEventMs: 120,
+    longestPauseMs: 60,
+  });
+  metrics.noteEnd(createRoute({}), AttemptEnd.Broken, {durationMs: 40});
+  metrics.noteRefusal(503);
+  metrics.noteAttempt('notes');
+  metrics.noteFailedAttempt('notes', AttemptEnd.NotRun);
+  metrics.noteRepeat('notes', false);
+  return metrics.render();
+}
+
+const LINES = [
+  'vmux_gateway_requests_total{sort="stream",end="delivered"} 1',
+  'vmux_gateway_requests_total{sort="idempotent",end="broken"} 1',
+  'vmux_gateway_refusals_total{status="503"} 1',
+  'vmux_gateway_failed_attempts_total{service="notes",end="not_run"} 1',
+  'vmux_gateway_repeats_total{service="notes",verdict="denied"} 1',
+  'vmux_gateway_first_event_seconds_bucket{le="0.1",sort="stream",end="delivered"} 0',
+  'vmux_gateway_first_event_seconds_bucket{le="0.2",sort="stream",end="delivered"} 1',
+  'vmux_gateway_longest_pause_seconds_bucket{le="0.1",sort="stream",end="delivered"} 1',
+  'vmux_gateway_in_flight 3',
+  'vmux_gateway_config_version 7',
+  'vmux_gateway_config_age_seconds 1.5',
+  'vmux_gateway_control_hosts 2',
+  'vmux_gateway_record_waiting 9',
+  'vmux_gateway_backends{service="notes",state="ready",paused="false"} 2',
+  'vmux_gateway_backends{service="notes",state="draining",paused="true"} 1',
+];
+
+describe('GatewayMetrics', () => {
+  for (const line of LINES) {
+    it(`shows ${line}`, async () => {
+      const lines = (await render()).split('\n');
+      assert.ok(lines.includes(line), lines.join('\n'));
+    });
+  }
+
+  it('shows the metrics that the operators page lists, and no others', async () => {
+    const shown = [...(await render()).matchAll(/^# TYPE (\S+)/gm)];
+    const page = readFileSync(PAGE, 'utf8');
+    const listed = [...page.matchAll(/^\| `(vmux_gateway_\w+)`/gm)];
+    const names = (found: RegExpMatchArray[]) =>
+      found.map(([, name]) => name).sort();
+    assert.deepEqual(names(shown), names(listed));
+  });
+});
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -45,6 +45,11 @@
     return this.backends.get(id);
   }
 
+  /** Every backend server whose life has not ended. */
+  list(): Backend[] {
+    return [...this.backends.values()];
+  }
+
   private take(report: Presence): void {
     const present = this.backends.get(report.id);
     const isSameLife = present?.presence.incarnation === report.incarnation;
--- a/packages/gateway/src/link/config_store.ts
+++ b/packages/gateway/src/link/config_store.ts
@@ -1,5 +1,5 @@
 import type {PublishedDocument} from '@vanillamux/protocol';
-import {Deferred, getLogger, sleep} from '@vanillamux/shared';
+import {Deferred, getLogger, monotonicMs, sleep} from '@vanillamux/shared';
 import {RouteTable} from '../config/route_table.js';
 import type {Dialect} from '../dialect/dialect.js';
 
@@ -8,6 +8,7 @@
 /** The configuration in force on this host; it never goes back. */
 export class ConfigStore {
   private table?: RouteTable;
+  private takenMs = 0;
   private readonly first = new Deferred<void>();
 
   constructor(private readonly dialect: Dialect) {}
@@ -22,6 +23,11 @@
     return this.table?.config.version ?? -1;
   }
 
+  /** Time since the configuration came into force; 0 before the first. */
+  get ageMs(): number {
+    return this.table ? monotonicMs() - this.takenMs : 0;
+  }
+
   /** Waits until there is a configuration, at most `timeoutMs`. */
   async waitForFirst(timeoutMs: number): Promise<RouteTable | undefined> {
     if (this.table) return this.table;
@@ -44,6 +50,7 @@
       return;
     }
     this.table = new RouteTable(config.value);
+    this.takenMs = monotonicMs();
     this.first.resolve();
     log.info('Configuration in force.', {
       version: document.version,
--- a/packages/gateway/src/request/request_journal.ts
+++ b/packages/gateway/src/request/request_journal.ts
@@ -45,6 +45,7 @@
 
   /** An attempt has ended without a whole answer. */
   noteFailed({end, reason}: AttemptResult): void {
+    this.parts.metrics.noteFailedAttempt(this.request.service.name, end);
     log.info('An attempt failed.', {
       request: this.request.facts.attemptId,
       backend: this.lastDecision?.backend.presence.id,
@@ -86,8 +87,12 @@
   noteEnd(end: AttemptEnd, ran: RunState, code?: string): void {
     const {request, parts, lastDecision} = this;
     const {route, startedMs} = request;
-    parts.metrics.noteEnd(route, end, monotonicMs() - startedMs);
     const firstMs = this.progress.firstEventMs;
+    parts.metrics.noteEnd(route, end, {
+      durationMs: monotonicMs() - startedMs,
+      firstEventMs: firstMs && firstMs - startedMs,
+      longestPauseMs: this.progress.longestPauseMs,
+    });
     parts.record.noteEnd(request, {
       ran,
       code,
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -126,7 +126,9 @@
   private takeRepeat(): boolean {
     if (this.arrivals === 0) return true;
     const {name} = this.request.service;
-    return this.parts.retries.take(name, monotonicMs());
+    const isGranted = this.parts.retries.take(name, monotonicMs());
+    this.parts.metrics.noteRepeat(name, isGranted);
+    return isGranted;
   }
 
   private async attempt(decision: PlacementDecision): Promise<AttemptResult> {
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -24,6 +24,16 @@
     super(stream);
   }
 
+  private noteEvents(count: number): void {
+    const {progress} = this.stream;
+    const nowMs = monotonicMs();
+    const pauseMs = nowMs - (progress.lastEventMs ?? nowMs);
+    progress.events += count;
+    progress.firstEventMs ??= nowMs;
+    progress.lastEventMs = nowMs;
+    progress.longestPauseMs = Math.max(progress.longestPauseMs ?? 0, pauseMs);
+  }
+
   protected async take(
     exchange: Exchange,
     head: AnswerHead,
@@ -41,8 +51,7 @@
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
       this.markPrefilled();
-      progress.events += count;
-      progress.firstEventMs ??= monotonicMs();
+      this.noteEvents(count);
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
       await writer.write(bytes, signal);
       if (signal.aborted) {
--- a/packages/gateway/src/request/stream_progress.ts
+++ b/packages/gateway/src/request/stream_progress.ts
@@ -5,4 +5,8 @@
   events: number;
   /** When the first event was passed on, on the monotonic clock. */
   firstEventMs?: number;
+  /** When the last event was passed on. */
+  lastEventMs?: number;
+  /** Longest pause between two events. */
+  longestPauseMs?: number;
 }
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -30,6 +30,7 @@
 import {RequestRecord} from '../request/request_record.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
 import {createProbeServer} from './create_probe_server.js';
+import type {GatewayGauges} from './gateway_gauges.js';
 import {GatewayMetrics} from './gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {Readiness} from './readiness.js';
@@ -115,6 +116,7 @@
     });
     this.handler = new RequestHandler(this.createParts());
     this.clients = this.createClientServer();
+    this.metrics.watch(this.gauges());
     void this.backends
       .ended()
       .observe(backend => this.connections.drop(backend));
@@ -209,6 +211,22 @@
     };
   }
 
+  private gauges(): GatewayGauges {
+    return {
+      inFlight: () => this.handler.inFlight,
+      configVersion: () => this.config.version,
+      configAgeS: () => this.config.ageMs / MS_PER_SECOND,
+      controlHosts: () => this.links.hosts().length,
+      recordWaiting: () => this.recorder.undelivered.length,
+      backends: () =>
+        this.backends.list().map(({presence, failures}) => ({
+          service: presence.service,
+          state: presence.state,
+          isPaused: failures.isPaused(monotonicMs()),
+        })),
+    };
+  }
+
   private createClientServer(): Server {
     return createServer(
       {
@@ -224,16 +242,18 @@
 
   private async listenAll(): Promise<Result<void>> {
     const {settings, readinessPath} = this.options;
-    const probe = createProbeServer({
-      readinessPath,
-      isReady: () => this.readiness.isReady,
-      metrics: this.metrics,
-    });
-    const wanted: Array<[Server, Address]> = [
-      [probe, settings.readiness],
-      [this.clients, settings.listen],
-    ];
-    this.probes.push(probe);
+    const wanted: Array<[Server, Address]> = [];
+    for (const address of [settings.readiness, settings.metrics]) {
+      if (!address) continue;
+      const probe = createProbeServer({
+        readinessPath,
+        isReady: () => this.readiness.isReady,
+        metrics: this.metrics,
+      });
+      this.probes.push(probe);
+      wanted.push([probe, address]);
+    }
+    wanted.push([this.clients, settings.listen]);
     for (const [server, address] of wanted) {
       const bound = await listen(server, address);
       if (!bound.ok) return bound;
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -1,11 +1,24 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptEnd} from '../request/attempt_end.js';
+import type {GatewayGauges} from './gateway_gauges.js';
 
 const MS_PER_SECOND = 1_000;
 const DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 3, 5, 10, 15];
 
-/** Counters and histograms of an entry host. */
+/** Times of one request, for the histograms. */
+export interface RequestTimes {
+  readonly durationMs: number;
+  /** Time to the first event of a stream. */
+  readonly firstEventMs?: number;
+  /** Longest pause between two events of a stream. */
+  readonly longestPauseMs?: number;
+}
+
+/**
+ * Counters and histograms of an entry host. Labels are kinds of requests,
+ * outcomes and services; none grows with the number of workspaces.
+ */
 export class GatewayMetrics {
   private readonly registry = new Registry();
   private readonly ends = new Counter({
@@ -26,19 +39,74 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
-  private readonly durations = new Histogram({
-    name: 'vmux_gateway_request_seconds',
-    help: 'Time from the head of a request to the end of its answer.',
-    labelNames: ['sort'],
-    buckets: DURATION_BUCKETS_S,
+  private readonly failedAttempts = new Counter({
+    name: 'vmux_gateway_failed_attempts_total',
+    help: 'Attempts without a whole answer, by service and how they ended.',
+    labelNames: ['service', 'end'],
+    registers: [this.registry],
+  });
+  private readonly repeats = new Counter({
+    name: 'vmux_gateway_repeats_total',
+    help: 'Repeats that drew on the shared retry budget, or were denied by it.',
+    labelNames: ['service', 'verdict'],
     registers: [this.registry],
   });
+  private readonly durations = this.createHistogram(
+    'vmux_gateway_request_seconds',
+    'Time from the head of a request to the end of its answer.',
+  );
+  private readonly firstEvents = this.createHistogram(
+    'vmux_gateway_first_event_seconds',
+    'Time from the head of a request to the first event of its stream.',
+  );
+  private readonly pauses = this.createHistogram(
+    'vmux_gateway_longest_pause_seconds',
+    'Longest pause between two events of a stream.',
+  );
+
+  /** Adds gauges that are read when metrics are collected. */
+  watch(gauges: GatewayGauges): void {
+    this.addGauge(
+      'vmux_gateway_in_flight',
+      'Requests that have not ended.',
+      () => gauges.inFlight(),
+    );
+    this.addGauge(
+      'vmux_gateway_config_version',
+      'Version of the configuration in force; -1 before the first.',
+      () => gauges.configVersion(),
+    );
+    this.addGauge(
+      'vmux_gateway_config_age_seconds',
+      'Time since the configuration came into force.',
+      () => gauges.configAgeS(),
+    );
+    this.addGauge(
+      'vmux_gateway_control_hosts',
+      'Control hosts that answer.',
+      () => gauges.controlHosts(),
+    );
+    this.addGauge(
+      'vmux_gateway_record_waiting',
+      'Entries of the record that no control host has confirmed.',
+      () => gauges.recordWaiting(),
+    );
+    this.addBackends(gauges);
+  }
 
   /** A request has ended. */
-  noteEnd(route: RouteSpec, end: AttemptEnd, durationMs: number): void {
+  noteEnd(route: RouteSpec, end: AttemptEnd, times: RequestTimes): void {
     const sort = route.isStream ? 'stream' : route.repeat;
-    this.ends.inc({sort, end});
-    this.durations.observe({sort}, durationMs / MS_PER_SECOND);
+    const labels = {sort, end};
+    const {durationMs, firstEventMs, longestPauseMs} = times;
+    this.ends.inc(labels);
+    this.durations.observe(labels, durationMs / MS_PER_SECOND);
+    if (firstEventMs !== undefined) {
+      this.firstEvents.observe(labels, firstEventMs / MS_PER_SECOND);
+    }
+    if (longestPauseMs !== undefined) {
+      this.pauses.observe(labels, longestPauseMs / MS_PER_SECOND);
+    }
   }
 
   /** A request was refused before it was matched. */
@@ -51,8 +119,57 @@
     this.attempts.inc({service});
   }
 
+  /** An attempt has ended without a whole answer. */
+  noteFailedAttempt(service: string, end: AttemptEnd): void {
+    this.failedAttempts.inc({service, end});
+  }
+
+  /** A repeat was asked of the shared retry budget. */
+  noteRepeat(service: string, isGranted: boolean): void {
+    this.repeats.inc({service, verdict: isGranted ? 'granted' : 'denied'});
+  }
+
   /** All metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
   }
+
+  private addGauge(name: string, help: string, read: () => number): void {
+    new Gauge({
+      name,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  }
+
+  private addBackends(gauges: GatewayGauges): void {
+    new Gauge({
+      name: 'vmux_gateway_backends',
+      help: 'Backend servers by service, believed state and whether requests avoid them.',
+      labelNames: ['service', 'state', 'paused'],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const {service, state, isPaused} of gauges.backends()) {
+          this.inc({service, state, paused: String(isPaused)});
+        }
+      },
+    });
+  }
+
+  private createHistogram(
+    name: string,
+    help: string,
+  ): Histogram<'sort' | 'end'> {
+    return new Histogram({
+      name,
+      help,
+      labelNames: ['sort', 'end'],
+      buckets: DURATION_BUCKETS_S,
+      registers: [this.registry],
+    });
+  }
 }
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -28,6 +28,8 @@
     listen: addressSchema,
     /** Where the load balancer asks whether this host takes connections. */
     readiness: addressSchema,
+    /** Where metrics are served besides the readiness address. */
+    metrics: addressSchema.optional(),
     /** Where other entry hosts send their notices, as datagrams. */
     peers: addressSchema,
     /** Some control hosts; their port is not used. */
