fix(gateway): a placement counts before the next one is decided

Cause: a decision was entered into the ledgers after an await (reserving memory, even none), so requests that were placed in one turn of the event loop did not see each other.

Change: PlacementClaim enters the work in the ledgers, and tells the other hosts, in the turn of the decision; the runner ends it.

--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -15,6 +15,7 @@
 import type {AttemptResult} from './attempt_result.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayParts} from './gateway_parts.js';
+import type {PlacementClaim} from './placement_claim.js';
 
 const FIRST_FAILURE_STATUS = 500;
 
@@ -25,8 +26,8 @@
   readonly decision: PlacementDecision;
   /** Id of the last event that the client has. */
   readonly lastEventId?: string;
-  /** Names this attempt among all work of the deployment. */
-  readonly workId: string;
+  /** What the placement has taken of its engines. */
+  readonly claim: PlacementClaim;
   /** Memory that engines keep for the request, the answering one first. */
   readonly held: readonly HeldMemory[];
   /** Time to the head of the answer after which it is given up. */
@@ -54,13 +55,11 @@
     const exchange = this.send();
     const onAbort = (): void => exchange.cancel('abandoned');
     this.request.signal.addEventListener('abort', onAbort, {once: true});
-    this.beginWork();
     try {
       return await this.follow(exchange);
     } finally {
       this.request.signal.removeEventListener('abort', onAbort);
       exchange.cancel('attempt ended');
-      this.endWork();
       this.parts.metrics.noteAttempt(backend.presence.service);
     }
   }
@@ -96,13 +95,6 @@
     }
   }
 
-  /** The engines have processed the prompt. */
-  protected markPrefilled(): void {
-    for (const {backend} of this.decision.work) {
-      backend.work.markPrefilled(this.workId, monotonicMs());
-    }
-  }
-
   /** The end of an exchange without a whole answer. */
   protected broken(fault: ExchangeFault): AttemptResult {
     const {signal} = this.request;
@@ -120,10 +112,6 @@
     return {end, reason: fault.reason};
   }
 
-  private get workId(): string {
-    return this.options.workId;
-  }
-
   /** Engines that hold memory for the request come first, in their order. */
   private helpers(): EngineHelper[] {
     const {decision, options} = this;
@@ -161,22 +149,6 @@
     return parts.connections.of(backend).send(exchangeRequest, fresh);
   }
 
-  private beginWork(): void {
-    this.decision.backend.inFlight++;
-    for (const {backend, item} of this.decision.work) {
-      backend.work.add(this.workId, item, monotonicMs());
-    }
-    this.parts.notices.tell(this.workId, this.decision.work);
-  }
-
-  private endWork(): void {
-    this.decision.backend.inFlight--;
-    for (const {backend} of this.decision.work) {
-      backend.work.remove(this.workId, monotonicMs());
-    }
-    this.parts.notices.tellEnd(this.workId, this.decision.work);
-  }
-
   private async follow(exchange: Exchange): Promise<AttemptResult> {
     const {headTimeoutMs} = this.options;
     const timer = setTimeout(
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -12,6 +12,7 @@
 import {pauseTimeoutMs} from './pause_timeout_ms.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayParts} from './gateway_parts.js';
+import {PlacementClaim} from './placement_claim.js';
 import {RequestJournal} from './request_journal.js';
 import {sendRefusal} from './send_refusal.js';
 import {StreamAttempt} from './stream_attempt.js';
@@ -135,14 +136,19 @@
     this.sends++;
     this.tried.add(decision.backend);
     this.journal.notePlaced(decision);
+    const {notices} = this.parts;
+    const workId = `${this.request.facts.attemptId}/${this.sends}`;
+    const claim = new PlacementClaim(notices, workId, decision);
     const held = await this.hold(decision);
     if (!held) {
+      claim.end();
       this.rejections++;
       return {end: AttemptEnd.NotSent, reason: 'no memory for the context'};
     }
     const finished = new AbortController();
     if (held.length > 0) void this.parts.memory.keep(held, finished.signal);
-    const result = await this.send(decision, held);
+    const result = await this.send(decision, held, claim);
+    claim.end();
     finished.abort();
     if (result.end !== AttemptEnd.NotSent) this.arrivals++;
     if (result.faulty) {
@@ -167,10 +173,11 @@
   private async send(
     decision: PlacementDecision,
     held: readonly HeldMemory[],
+    claim: PlacementClaim,
   ): Promise<AttemptResult> {
-    const {route, facts} = this.request;
+    const {route} = this.request;
     const options: AttemptOptions = {
-      workId: `${facts.attemptId}/${this.sends}`,
+      claim,
       held,
       parts: this.parts,
       request: this.request,
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -50,7 +50,7 @@
       if (!result.value) break;
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
-      this.markPrefilled();
+      this.stream.claim.markPrefilled();
       this.noteEvents(count);
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
       await writer.write(bytes, signal);
--- a/packages/load/src/day/day_spec_schema.ts
+++ b/packages/load/src/day/day_spec_schema.ts
@@ -39,6 +39,14 @@
   })
   .strict();
 
+const outageSchema = z
+  .object({
+    /** Requests that arrive from here on wait until `toSecond`. */
+    fromSecond: z.number().min(0),
+    toSecond: positive,
+  })
+  .strict();
+
 const engineSchema = z
   .object({
     batchSize: positive,
@@ -68,5 +76,7 @@
     clientDelayMs: z.number().min(0),
     classes: z.array(classSchema).min(1),
     phases: z.array(phaseSchema).default([]),
+    /** Times in which no host places anything, as after a restart of all. */
+    outages: z.array(outageSchema).default([]),
   })
   .strict();
--- a/packages/load/src/day/play_day.ts
+++ b/packages/load/src/day/play_day.ts
@@ -20,6 +20,7 @@
 import type {DaySpec} from './day_spec.js';
 import {planDay} from './plan_day.js';
 
+const MS_PER_SECOND = 1_000;
 /** Handling of a message by a process, beside the way. */
 const HANDLING_MS = 1;
 /** Between hosts of one failure domain, one way. */
@@ -88,12 +89,22 @@
     }));
     for (const outcome of outcomes) {
       const atMs = outcome.arrival.atMs + this.options.spec.clientDelayMs;
-      this.clock.after(atMs + HANDLING_MS, () => this.take(outcome));
+      const startMs = this.endOfOutage(atMs + HANDLING_MS);
+      this.clock.after(startMs, () => this.take(outcome));
     }
     this.clock.run();
     return outcomes;
   }
 
+  /** When hosts take what arrives at a time. */
+  private endOfOutage(atMs: number): number {
+    const outage = this.options.spec.outages.find(
+      ({fromSecond, toSecond}) =>
+        atMs >= fromSecond * MS_PER_SECOND && atMs < toSecond * MS_PER_SECOND,
+    );
+    return outage ? outage.toSecond * MS_PER_SECOND : atMs;
+  }
+
   private createHost(at: number): VirtualHost {
     const {spec, placement} = this.options;
     const domain = at % spec.failureDomains;
