fix(gateway): each request takes a new connection to its backend server

Cause: an idle connection that was silenced or dropped by the peer shows it only after a request has left on it: 1.5 s without an answer for a stream, a repeat that draws on the budget for the others. A new connection shows it before, as nothing is accepted. The wait for that was 300 ms, longer than what the shortest requests aim at altogether.

Change: requests use connections of their own, closed afterwards; orders about memory keep the pool. A connection has 120 ms to be accepted.

--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -2,9 +2,10 @@
 
 /**
  * Time within which a backend server has to accept a connection. Far above a
- * round trip in a region; a lost packet is sent again after a second only.
+ * round trip in a region, and low enough for another try within the shortest
+ * aimed time; a lost packet is sent again after a second only.
  */
-const CONNECT_TIMEOUT_MS = 300;
+const CONNECT_TIMEOUT_MS = 120;
 /** Time for which an idle connection is kept, unless the peer says less. */
 const IDLE_TIMEOUT_MS = 8_000;
 /** Margin before the end that a peer states for an idle connection. */
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -17,13 +17,15 @@
   }
 
   /**
-   * Sends a request. A connection that was idle may have been reset by the
-   * peer in the meantime, so requests that must not be sent twice take a new
-   * one with `fresh`.
+   * Sends a request. A connection that was idle may have been reset or
+   * silenced in the meantime, which shows only after the request has left; a
+   * `fresh` one shows it before. It is closed afterwards.
    */
   send(request: ExchangeRequest, fresh = false): Exchange {
     const connection = (fresh ? undefined : this.idle.pop()) ?? this.open();
-    const exchange = new Exchange(connection, () => this.giveBack(connection));
+    const exchange = new Exchange(connection, () =>
+      fresh ? connection.close() : this.giveBack(connection),
+    );
     connection.client.dispatch(
       {
         method: request.method,
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,5 +1,4 @@
 import {formatAddress, monotonicMs} from '@vanillamux/shared';
-import {isRepeatable} from '../config/is_repeatable.js';
 import type {AnswerHead} from '../connection/answer_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import type {ExchangeFault} from '../connection/exchange_fault.js';
@@ -132,7 +131,7 @@
       1,
       Math.floor(request.deadlineMs - monotonicMs()),
     );
-    const {req, body, route} = request;
+    const {req, body} = request;
     const exchangeRequest: ExchangeRequest = {
       method: (req.method ?? 'GET') as ExchangeRequest['method'],
       path: req.url ?? '/',
@@ -145,8 +144,7 @@
       }),
       body: body.length > 0 ? body : undefined,
     };
-    const fresh = !isRepeatable(route);
-    return parts.connections.of(backend).send(exchangeRequest, fresh);
+    return parts.connections.of(backend).send(exchangeRequest, true);
   }
 
   private async follow(exchange: Exchange): Promise<AttemptResult> {
