--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -114,8 +114,8 @@
     if (result.ok && result.value) {
       this.options.listener.onDocument(result.value);
     } else if (!result.ok) {
-      const {message} = result.error;
-      log.warn('Could not fetch the configuration; trying again.', {message});
+      const {message: reason} = result.error;
+      log.warn('Could not fetch the configuration; trying again.', {reason});
     }
   }
 
@@ -126,8 +126,8 @@
   private note(isUp: boolean, reason: string): void {
     if (this.isUp === isUp) return;
     this.isUp = isUp;
-    const host = formatAddress(this.options.address);
-    if (isUp) log.info('Reached a control host.', {host});
-    else log.warn('Lost a control host; trying again.', {host, reason});
+    const peer = formatAddress(this.options.address);
+    if (isUp) log.info('Reached a control host.', {peer});
+    else log.warn('Lost a control host; trying again.', {peer, reason});
   }
 }
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -82,7 +82,7 @@
     const kept = new Set([...addresses, ...this.seeds].map(formatAddress));
     for (const [key, link] of this.links) {
       if (kept.has(key)) continue;
-      log.info('Left a control host that is no member any more.', {host: key});
+      log.info('Left a control host that is no member any more.', {peer: key});
       link.close();
       this.links.delete(key);
     }
