--- /dev/null
+++ b/packages/load/__tests__/play_command.test.ts
@@ -0,0 +1,57 @@
+import assert from 'node:assert/strict';
+import {spawnSync} from 'node:child_process';
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {describe, it} from 'node:test';
+
+const COMMAND = fileURLToPath(
+  new URL('../src/bin/vmux_load.js', import.meta.url),
+);
+const DAY = fileURLToPath(
+  new URL('../../../../examples/poldtoetus/days/heavy.yaml', import.meta.url),
+);
+
+const CASES = [
+  {
+    name: 'a day with one placement',
+    args: [DAY, '--days', '1', '--placement', 'round_robin'],
+    status: 0,
+    says: /^\| round_robin \| \*\*all\*\* /m,
+  },
+  {
+    name: 'a file that is not there',
+    args: ['missing.yaml'],
+    status: 2,
+    says: /missing\.yaml:0: .*readable file/,
+  },
+  {
+    name: 'an unknown placement',
+    args: [DAY, '--placement', 'best'],
+    status: 2,
+    says: /--placement: expected one of round_robin, /,
+  },
+  {
+    name: 'a number of days that is none',
+    args: [DAY, '--days', 'many'],
+    status: 2,
+    says: /--days: Expected number/,
+  },
+  {
+    name: 'no days at all',
+    args: [DAY, '--days', '0'],
+    status: 2,
+    says: /--days: .*greater than or equal to 1/,
+  },
+];
+
+describe('vmux-load play', () => {
+  for (const {name, args, status, says} of CASES) {
+    it(`answers ${name}`, () => {
+      const result = spawnSync(process.execPath, [COMMAND, 'play', ...args], {
+        encoding: 'utf8',
+      });
+      assert.equal(result.status, status, result.stderr);
+      assert.match(`${result.stdout}${result.stderr}`, says);
+    });
+  }
+});
--- a/packages/load/src/bin/vmux_load.ts
+++ b/packages/load/src/bin/vmux_load.ts
@@ -2,6 +2,7 @@
 import {PlacementName} from '@vanillamux/gateway';
 import {loadSettings, VERSION, type Address} from '@vanillamux/shared';
 import {cac} from 'cac';
+import {z} from 'zod';
 import {comparePlacements} from '../day/compare_placements.js';
 import {daySpecSchema} from '../day/day_spec_schema.js';
 import {printComparison} from '../day/print_comparison.js';
@@ -25,6 +26,11 @@
   readonly placement?: string;
 }
 
+const playFlagsSchema = z.object({
+  days: z.number().int().min(1),
+  seed: z.number().int(),
+});
+
 const cli = cac('vmux-load');
 cli
   .command('<spec>', 'Run an experiment and print its result as JSON')
@@ -61,6 +67,11 @@
 }
 
 async function play(file: string, flags: PlayFlags): Promise<void> {
+  const checked = playFlagsSchema.safeParse(flags);
+  if (!checked.success) {
+    const [{path, message}] = checked.error.issues as [z.ZodIssue];
+    return refuse(`--${path.join('.')}: ${message}`);
+  }
   const spec = await loadSettings(file, daySpecSchema);
   if (!spec.ok) return refuse(spec.error.message);
   const known = Object.values(PlacementName);
