--- a/packages/load/src/day/day_outcome.ts
+++ b/packages/load/src/day/day_outcome.ts
@@ -5,6 +5,8 @@
   readonly arrival: DayArrival;
   /** Time to the first event at the client; absent when none came. */
   firstEventMs?: number;
+  /** Time to the latest event at the client. */
+  lastEventMs?: number;
   /** Longest pause between events. */
   longestPauseMs: number;
   /** Whether the whole answer came before the deadline. */
--- /dev/null
+++ b/packages/load/src/day/virtual_engines.ts
@@ -0,0 +1,75 @@
+import type {Backend, EngineSpec, PlacementDecision} from '@vanillamux/gateway';
+import {VirtualEngine, type VirtualClock} from '@vanillamux/engine';
+import type {DayArrival} from './day_arrival.js';
+
+/** Hears that an event has left its engine. */
+type EventListener = (isLast: boolean) => void;
+
+/** All engines of a virtual day; a backend server's id is its engine's place. */
+export class VirtualEngines {
+  private readonly engines: readonly VirtualEngine[];
+
+  constructor(
+    count: number,
+    private readonly spec: EngineSpec,
+    clock: VirtualClock,
+  ) {
+    this.engines = Array.from(
+      {length: count},
+      () => new VirtualEngine(spec, clock),
+    );
+  }
+
+  /** Sets the memory aside that a decision asks for, all of it or none. */
+  reserve({memory}: PlacementDecision): boolean {
+    const granted = memory.filter(({backend, tokens}) =>
+      this.of(backend).reserve(tokens),
+    );
+    if (granted.length === memory.length) return true;
+    this.free(granted);
+    return false;
+  }
+
+  /** Gives the memory of a decision back. */
+  release({memory}: PlacementDecision): void {
+    this.free(memory);
+  }
+
+  /** Processes a prompt in even parts and writes its answer. */
+  run(
+    arrival: DayArrival,
+    {backend, helpers, memory}: PlacementDecision,
+    onEvent: EventListener,
+  ): void {
+    const parts = helpers.length + 1;
+    const part = {
+      promptTokens: Math.ceil(arrival.promptTokens / parts),
+      promptPairs: arrival.promptTokens ** 2 / 2 / parts,
+    };
+    const whole = this.of(backend).submit({
+      ...part,
+      answerTokens: arrival.events * this.spec.stepsPerPass,
+      // Memory that was set aside holds the context.
+      contextTokens: memory.length > 0 ? 0 : arrival.promptTokens,
+      otherParts: helpers.length,
+      onEvent,
+    });
+    for (const helper of helpers) {
+      this.of(helper).submit({
+        ...part,
+        answerTokens: 0,
+        contextTokens: 0,
+        otherParts: 0,
+        onPrefilled: () => whole.notePart(),
+      });
+    }
+  }
+
+  private free(memory: PlacementDecision['memory']): void {
+    for (const {backend, tokens} of memory) this.of(backend).release(tokens);
+  }
+
+  private of({presence}: Backend): VirtualEngine {
+    return this.engines[Number(presence.id)]!;
+  }
+}
--- /dev/null
+++ b/packages/load/src/day/virtual_host.ts
@@ -0,0 +1,78 @@
+import {
+  Backend,
+  Placements,
+  type PlacementDecision,
+  type PlacementName,
+  type ServiceSpec,
+} from '@vanillamux/gateway';
+import {PresenceState} from '@vanillamux/protocol';
+
+/** Options of a `VirtualHost`. */
+export interface VirtualHostOptions {
+  readonly failureDomain: string;
+  readonly placement: PlacementName;
+  readonly service: ServiceSpec;
+  /** Failure domain of each engine, by its place. */
+  readonly engineDomains: readonly string[];
+  readonly draw: () => number;
+}
+
+/** An entry host of a virtual day, with its own view of each engine. */
+export class VirtualHost {
+  readonly failureDomain: string;
+  readonly placements: Placements;
+  readonly backends: readonly Backend[];
+
+  constructor(options: VirtualHostOptions) {
+    const {failureDomain, placement, service, engineDomains, draw} = options;
+    this.failureDomain = failureDomain;
+    this.placements = new Placements(placement, failureDomain, draw);
+    this.backends = engineDomains.map(
+      (domain, at) =>
+        new Backend({
+          id: String(at),
+          incarnation: 1,
+          sequence: 1,
+          state: PresenceState.Ready,
+          service: service.name,
+          address: {host: 'engine', port: at + 1},
+          failureDomain: domain,
+          capacity: service.engine?.batchSize ?? 1,
+        }),
+    );
+  }
+
+  /** This host has placed work. */
+  begin(id: string, {backend, work}: PlacementDecision, nowMs: number): void {
+    backend.inFlight++;
+    for (const placed of work) placed.backend.work.add(id, placed.item, nowMs);
+  }
+
+  /** The first event of its work has come. */
+  markPrefilled(id: string, {work}: PlacementDecision, nowMs: number): void {
+    for (const {backend} of work) backend.work.markPrefilled(id, nowMs);
+  }
+
+  /** The answer to its work is whole. */
+  end(id: string, {backend, work}: PlacementDecision, nowMs: number): void {
+    backend.inFlight--;
+    for (const placed of work) placed.backend.work.remove(id, nowMs);
+  }
+
+  /** Another host tells what it has placed. */
+  hearBegin(id: string, {work}: PlacementDecision, nowMs: number): void {
+    for (const {backend, item} of work) {
+      this.viewOf(backend).work.addForeign(id, item, nowMs);
+    }
+  }
+
+  /** Another host tells that its work has ended. */
+  hearEnd(id: string, {work}: PlacementDecision, nowMs: number): void {
+    for (const {backend} of work) this.viewOf(backend).work.remove(id, nowMs);
+  }
+
+  /** How this host sees an engine that another host knows. */
+  private viewOf({presence}: Backend): Backend {
+    return this.backends[Number(presence.id)]!;
+  }
+}
