--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -9,7 +9,8 @@
   succeed,
   type Result,
 } from '@vanillamux/shared';
-import {collectDefaultMetrics, Gauge, Registry} from 'prom-client';
+import {collectDefaultMetrics, Registry} from 'prom-client';
+import {addGauge} from './add_gauge.js';
 import {BackendRegistry} from './backend_registry.js';
 import {ControlHost} from './control_host.js';
 import {createControlRouter} from './control_router.js';
@@ -175,14 +176,7 @@
     ],
   ];
   for (const [name, help, read] of gauges) {
-    new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    addGauge(registry, name, help, read);
   }
   return registry;
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,3 +1,4 @@
+export {addGauge} from './add_gauge.js';
 export {type Member} from '@vanillamux/consensus';
 export {
   ReserveVerdict,
--- a/packages/entry/src/entry_metrics.ts
+++ b/packages/entry/src/entry_metrics.ts
@@ -1,11 +1,6 @@
+import {addGauge} from '@vanillamux/control';
 import type {RunState} from '@vanillamux/shared';
-import {
-  collectDefaultMetrics,
-  Counter,
-  Gauge,
-  Histogram,
-  Registry,
-} from 'prom-client';
+import {collectDefaultMetrics, Counter, Histogram, Registry} from 'prom-client';
 
 const MS_PER_SECOND = 1_000;
 /** Coarse, because each sample wakes an idle process. */
@@ -58,14 +53,7 @@
 
   /** Adds a gauge whose value is read when metrics are collected. */
   addGauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
+    addGauge(this.registry, name, help, read);
   }
 
   /** Counts the end of a request and its time to first token. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -1,3 +1,4 @@
+import {addGauge} from '@vanillamux/control';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptEnd} from '../request/attempt_end.js';
@@ -66,31 +67,36 @@
 
   /** Adds gauges that are read when metrics are collected. */
   watch(gauges: GatewayGauges): void {
-    this.addGauge(
-      'vmux_gateway_in_flight',
-      'Requests that have not ended.',
-      () => gauges.inFlight(),
-    );
-    this.addGauge(
-      'vmux_gateway_config_version',
-      'Version of the configuration in force; -1 before the first.',
-      () => gauges.configVersion(),
-    );
-    this.addGauge(
-      'vmux_gateway_config_age_seconds',
-      'Time since the configuration came into force.',
-      () => gauges.configAgeS(),
-    );
-    this.addGauge(
-      'vmux_gateway_control_hosts',
-      'Control hosts that answer.',
-      () => gauges.controlHosts(),
-    );
-    this.addGauge(
-      'vmux_gateway_record_waiting',
-      'Entries of the record that no control host has confirmed.',
-      () => gauges.recordWaiting(),
-    );
+    const single: Array<[string, string, () => number]> = [
+      [
+        'vmux_gateway_in_flight',
+        'Requests that have not ended.',
+        () => gauges.inFlight(),
+      ],
+      [
+        'vmux_gateway_config_version',
+        'Version of the configuration in force; -1 before the first.',
+        () => gauges.configVersion(),
+      ],
+      [
+        'vmux_gateway_config_age_seconds',
+        'Time since the configuration came into force.',
+        () => gauges.configAgeS(),
+      ],
+      [
+        'vmux_gateway_control_hosts',
+        'Control hosts that answer.',
+        () => gauges.controlHosts(),
+      ],
+      [
+        'vmux_gateway_record_waiting',
+        'Entries of the record that no control host has confirmed.',
+        () => gauges.recordWaiting(),
+      ],
+    ];
+    for (const [name, help, read] of single) {
+      addGauge(this.registry, name, help, read);
+    }
     this.addBackends(gauges);
   }
 
@@ -134,17 +140,6 @@
     return this.registry.metrics();
   }
 
-  private addGauge(name: string, help: string, read: () => number): void {
-    new Gauge({
-      name,
-      help,
-      registers: [this.registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  }
-
   private addBackends(gauges: GatewayGauges): void {
     new Gauge({
       name: 'vmux_gateway_backends',
