refactor(engine): virtual engines take the declared costs from one place

The time of a step and of prompt tokens stood in the placement and again in the virtual engine. stepMs and prefillMs serve both; passMs is a number of steps.

--- a/packages/engine/src/virtual/virtual_engine.ts
+++ b/packages/engine/src/virtual/virtual_engine.ts
@@ -1,10 +1,7 @@
-import type {EngineSpec} from '@vanillamux/gateway';
+import {prefillMs, stepMs, type EngineSpec} from '@vanillamux/gateway';
 import type {VirtualClock} from './virtual_clock.js';
 import type {VirtualWork} from './virtual_work.js';
 
-const PAIRS_PER_UNIT = 1_000_000;
-const TOKENS_PER_UNIT = 1_000;
-
 interface Running {
   readonly work: VirtualWork;
   readonly isPart: boolean;
@@ -152,8 +149,7 @@
       left -= tokens;
       item.leftTokens -= tokens;
       item.leftPairs -= pairs;
-      ms += tokens / this.spec.prefillTokensPerMs;
-      ms += (pairs / PAIRS_PER_UNIT) * this.spec.prefillMsPerMillionPairs;
+      ms += prefillMs(this.spec, tokens, pairs);
       if (item.leftTokens === 0) ended.push(item);
     }
     return {ms, ended};
@@ -171,16 +167,11 @@
   }
 
   private stepMs(writers: readonly Running[]): number {
-    const {stepMs, stepMsPerSequence, stepMsPerThousandTokens} = this.spec;
     const context = writers.reduce(
       (sum, {work}) => sum + work.contextTokens,
       0,
     );
-    return (
-      stepMs +
-      writers.length * stepMsPerSequence +
-      (context / TOKENS_PER_UNIT) * stepMsPerThousandTokens
-    );
+    return stepMs(this.spec, writers.length, context);
   }
 
   /** The first token follows the last part of the prompt. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,8 @@
 export {Backend} from './fleet/backend.js';
 export {type PlacementDecision} from './placement/placement_decision.js';
 export {PlacementName} from './placement/placement_name.js';
+export {prefillMs} from './placement/prefill_ms.js';
+export {stepMs} from './placement/step_ms.js';
 export {Placements} from './placement/placements.js';
 export {Gateway, type GatewayOptions} from './server/gateway.js';
 export {type GatewaySettings} from './server/gateway_settings.js';
--- a/packages/gateway/src/placement/engine_placement.ts
+++ b/packages/gateway/src/placement/engine_placement.ts
@@ -4,8 +4,8 @@
 import {lateChance} from './late_chance.js';
 import {stakeOf} from './stake_of.js';
 import {EngineOutlook} from './engine_outlook.js';
-import {passMs} from './pass_ms.js';
 import {prefillMs} from './prefill_ms.js';
+import {stepMs} from './step_ms.js';
 import {Placement} from './placement.js';
 import type {MemoryShare} from './memory_share.js';
 import type {PlacementDecision} from './placement_decision.js';
@@ -198,7 +198,7 @@
     memory: readonly MemoryShare[],
   ): PlacementDecision {
     const {partMs} = plan;
-    const stepMs = passMs(spec, 1, facts.promptTokens) / spec.stepsPerPass;
+    const tokenMs = stepMs(spec, 1, facts.promptTokens);
     const whole = facts.promptTokens + facts.answerTokens;
     const tokensOf = (backend: Backend): number =>
       memory.find(share => share.backend === backend)?.tokens ??
@@ -206,7 +206,7 @@
     const own: WorkItem = {
       prefillMs: partMs,
       tokens: tokensOf(first),
-      decodeMs: facts.answerTokens * stepMs,
+      decodeMs: facts.answerTokens * tokenMs,
       pauseGoalMs: route.pauseGoalMs ?? 0,
       goalMs: route.goalMs,
       stake: stakeOf(facts),
--- a/packages/gateway/src/placement/pass_ms.ts
+++ b/packages/gateway/src/placement/pass_ms.ts
@@ -1,6 +1,5 @@
 import type {EngineSpec} from '../config/engine_spec.js';
-
-const TOKENS_PER_UNIT = 1_000;
+import {stepMs} from './step_ms.js';
 
 /** Time of a pass of decoding steps without prompt processing. */
 export function passMs(
@@ -8,9 +7,5 @@
   sequences: number,
   contextTokens: number,
 ): number {
-  const stepMs =
-    spec.stepMs +
-    sequences * spec.stepMsPerSequence +
-    (contextTokens / TOKENS_PER_UNIT) * spec.stepMsPerThousandTokens;
-  return stepMs * spec.stepsPerPass;
+  return stepMs(spec, sequences, contextTokens) * spec.stepsPerPass;
 }
--- /dev/null
+++ b/packages/gateway/src/placement/step_ms.ts
@@ -0,0 +1,16 @@
+import type {EngineSpec} from '../config/engine_spec.js';
+
+const TOKENS_PER_UNIT = 1_000;
+
+/** Time of one decoding step without prompt processing. */
+export function stepMs(
+  spec: EngineSpec,
+  sequences: number,
+  contextTokens: number,
+): number {
+  return (
+    spec.stepMs +
+    sequences * spec.stepMsPerSequence +
+    (contextTokens / TOKENS_PER_UNIT) * spec.stepMsPerThousandTokens
+  );
+}
