--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -23,6 +23,11 @@
 export {prefillMs} from './placement/prefill_ms.js';
 export {stepMs} from './placement/step_ms.js';
 export {Placements} from './placement/placements.js';
+export {
+  PlacementClaim,
+  type PlacementClaimOptions,
+} from './request/placement_claim.js';
+export {type PlacedWork} from './placement/placed_work.js';
 export {Gateway, type GatewayOptions} from './server/gateway.js';
 export {type GatewaySettings} from './server/gateway_settings.js';
 export {gatewaySettingsSchema} from './server/gateway_settings_schema.js';
--- a/packages/gateway/src/request/placement_claim.ts
+++ b/packages/gateway/src/request/placement_claim.ts
@@ -2,38 +2,48 @@
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 
+/** Options of a `PlacementClaim`. */
+export interface PlacementClaimOptions {
+  readonly notices: Pick<PeerNotices, 'tell' | 'tellEnd'>;
+  /** Names this attempt among all work of the deployment. */
+  readonly workId: string;
+  readonly decision: PlacementDecision;
+  readonly now?: () => number;
+}
+
 /**
  * What a placement takes of its engines, in the ledgers of this host and of the
  * others. It begins in the turn of the decision, so that the next decision sees
  * it however many requests are placed at once.
  */
 export class PlacementClaim {
-  constructor(
-    private readonly notices: PeerNotices,
-    /** Names this attempt among all work of the deployment. */
-    private readonly workId: string,
-    private readonly decision: PlacementDecision,
-  ) {
+  private readonly now: () => number;
+
+  constructor(private readonly options: PlacementClaimOptions) {
+    const {notices, workId, decision} = options;
+    this.now = options.now ?? monotonicMs;
     decision.backend.inFlight++;
     for (const {backend, item} of decision.work) {
-      backend.work.add(workId, item, monotonicMs());
+      backend.work.add(workId, item, this.now());
     }
     notices.tell(workId, decision.work);
   }
 
   /** The engines have processed the prompt. */
   markPrefilled(): void {
-    for (const {backend} of this.decision.work) {
-      backend.work.markPrefilled(this.workId, monotonicMs());
+    const {workId, decision} = this.options;
+    for (const {backend} of decision.work) {
+      backend.work.markPrefilled(workId, this.now());
     }
   }
 
   /** The attempt has ended. */
   end(): void {
-    this.decision.backend.inFlight--;
-    for (const {backend} of this.decision.work) {
-      backend.work.remove(this.workId, monotonicMs());
+    const {notices, workId, decision} = this.options;
+    decision.backend.inFlight--;
+    for (const {backend} of decision.work) {
+      backend.work.remove(workId, this.now());
     }
-    this.notices.tellEnd(this.workId, this.decision.work);
+    notices.tellEnd(workId, decision.work);
   }
 }
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -138,7 +138,7 @@
     this.journal.notePlaced(decision);
     const {notices} = this.parts;
     const workId = `${this.request.facts.attemptId}/${this.sends}`;
-    const claim = new PlacementClaim(notices, workId, decision);
+    const claim = new PlacementClaim({notices, workId, decision});
     const held = await this.hold(decision);
     if (!held) {
       claim.end();
--- a/packages/load/src/day/virtual_day.ts
+++ b/packages/load/src/day/virtual_day.ts
@@ -1,4 +1,9 @@
-import type {PlacementDecision, ServiceSpec} from '@vanillamux/gateway';
+import {
+  PlacementClaim,
+  type PlacementClaimOptions,
+  type PlacementDecision,
+  type ServiceSpec,
+} from '@vanillamux/gateway';
 import {VirtualClock} from '@vanillamux/engine';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -115,32 +120,43 @@
   ): void {
     const {clock, engines, options} = this;
     const {arrival} = outcome;
-    const id = String(this.works++);
-    host.begin(id, decision, clock.nowMs);
-    this.tellOthers(host, other => other.hearBegin(id, decision, clock.nowMs));
+    const claim = new PlacementClaim({
+      notices: this.noticesOf(host),
+      workId: String(this.works++),
+      decision,
+      now: () => clock.nowMs,
+    });
     const {failureDomain} = decision.backend.presence;
     const wayMs = this.delayTo(host, failureDomain) + HANDLING_MS;
     const backMs = wayMs + options.spec.clientDelayMs;
     const onEvent = (isLast: boolean): void => {
       noteEvent(outcome, clock.nowMs + backMs - arrival.atMs, isLast);
-      clock.after(wayMs, () => this.pass(host, id, decision, isLast));
+      clock.after(wayMs, () => this.pass(decision, claim, isLast));
     };
     clock.after(wayMs, () => engines.run(arrival, decision, onEvent));
   }
 
   /** A host passes an event on. */
   private pass(
-    host: VirtualHost,
-    id: string,
     decision: PlacementDecision,
+    claim: PlacementClaim,
     isLast: boolean,
   ): void {
-    const {clock, engines} = this;
-    host.markPrefilled(id, decision, clock.nowMs);
+    claim.markPrefilled();
     if (!isLast) return;
-    engines.release(decision);
-    host.end(id, decision, clock.nowMs);
-    this.tellOthers(host, other => other.hearEnd(id, decision, clock.nowMs));
+    this.engines.release(decision);
+    claim.end();
+  }
+
+  /** Takes the notices of one host to the others. */
+  private noticesOf(host: VirtualHost): PlacementClaimOptions['notices'] {
+    const {clock} = this;
+    return {
+      tell: (id, work) =>
+        this.tellOthers(host, other => other.hearBegin(id, work, clock.nowMs)),
+      tellEnd: (id, work) =>
+        this.tellOthers(host, other => other.hearEnd(id, work, clock.nowMs)),
+    };
   }
 
   /** Runs `hear` at each other host when a notice arrives there. */
--- a/packages/load/src/day/virtual_host.ts
+++ b/packages/load/src/day/virtual_host.ts
@@ -1,7 +1,7 @@
 import {
   Backend,
   Placements,
-  type PlacementDecision,
+  type PlacedWork,
   type PlacementName,
   type ServiceSpec,
 } from '@vanillamux/gateway';
@@ -42,32 +42,15 @@
     );
   }
 
-  /** This host has placed work. */
-  begin(id: string, {backend, work}: PlacementDecision, nowMs: number): void {
-    backend.inFlight++;
-    for (const placed of work) placed.backend.work.add(id, placed.item, nowMs);
-  }
-
-  /** The first event of its work has come. */
-  markPrefilled(id: string, {work}: PlacementDecision, nowMs: number): void {
-    for (const {backend} of work) backend.work.markPrefilled(id, nowMs);
-  }
-
-  /** The answer to its work is whole. */
-  end(id: string, {backend, work}: PlacementDecision, nowMs: number): void {
-    backend.inFlight--;
-    for (const placed of work) placed.backend.work.remove(id, nowMs);
-  }
-
   /** Another host tells what it has placed. */
-  hearBegin(id: string, {work}: PlacementDecision, nowMs: number): void {
+  hearBegin(id: string, work: readonly PlacedWork[], nowMs: number): void {
     for (const {backend, item} of work) {
       this.viewOf(backend).work.addForeign(id, item, nowMs);
     }
   }
 
   /** Another host tells that its work has ended. */
-  hearEnd(id: string, {work}: PlacementDecision, nowMs: number): void {
+  hearEnd(id: string, work: readonly PlacedWork[], nowMs: number): void {
     for (const {backend} of work) this.viewOf(backend).work.remove(id, nowMs);
   }
 
