fix(gateway): a silent attempt is kept until another one makes progress

Clients saw their connection closed in the middle of a stream, or a 502 or 503, after a backend server had been silent for a second or two, although it was sound and would have gone on.

Cause: an attempt was cancelled when nothing had arrived for its timeout. Only then did the request ask whether another attempt was possible: attempts left by the route, the shared retry budget, a candidate, a candidate that accepts. Each of these could say no, and then nothing was left to forward.

Change: after the timeout, another attempt runs beside the silent one, which is kept. Whichever completes an event, or a whole buffered response, first goes on alone; the other is ended before a byte is forwarded, so two runs never mix. Where no other attempt is possible, the request waits for the silent one, and asks again every 250 ms until its deadline. The head of a stream is written with its first event, so that a request without any can still be refused with a status.

--- a/packages/gateway/src/request/abort_reason.ts
+++ b/packages/gateway/src/request/abort_reason.ts
@@ -1,5 +1,7 @@
-/** Why a client's request was aborted. */
+/** Why a client's request, or one attempt of it, was aborted. */
 export enum AbortReason {
   ClientDisconnected = 'client_left',
   DeadlineExceeded = 'deadline_passed',
+  /** Another attempt made progress first; the request goes on. */
+  Superseded = 'superseded',
 }
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -12,9 +12,11 @@
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
+import {createAbortedResult} from './create_aborted_result.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import type {PlacementClaim} from './placement_claim.js';
+import type {ResponseWriter} from './response_writer.js';
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -29,8 +31,20 @@
   readonly claim: PlacementClaim;
   /** KV memory reserved for the request, the responding engine's first. */
   readonly reservations: readonly MemoryReservation[];
-  /** Time to the response head, or first event, before cancellation. */
+  /** Time to the response head, or first event, before `onSilent` is called. */
   readonly responseHeadTimeoutMs: number;
+  /** Ends the attempt; the reason is an `AbortReason`. */
+  readonly signal: AbortSignal;
+  /**
+   * Called when nothing has arrived for the timeout. The attempt goes on: the
+   * backend server may be sound and continue.
+   */
+  readonly onSilent: (reason: string) => void;
+  /**
+   * Called before bytes are forwarded to the client. From then on no other
+   * attempt of the request may forward any.
+   */
+  readonly onProgress: () => void;
 }
 
 /**
@@ -41,6 +55,7 @@
   protected readonly components: GatewayComponents;
   protected readonly request: ClientRequest;
   protected readonly decision: PlacementDecision;
+  private silenceTimer?: NodeJS.Timeout;
 
   constructor(protected readonly options: AttemptOptions) {
     this.components = options.components;
@@ -51,13 +66,15 @@
   /** Sends the request and receives the response. */
   async run(): Promise<AttemptResult> {
     const {backend} = this.decision;
+    const {signal} = this.options;
     const exchange = this.sendRequest();
     const onAbort = (): void => exchange.cancel('abandoned');
-    this.request.signal.addEventListener('abort', onAbort, {once: true});
+    signal.addEventListener('abort', onAbort, {once: true});
     try {
       return await this.receiveResponse(exchange);
     } finally {
-      this.request.signal.removeEventListener('abort', onAbort);
+      signal.removeEventListener('abort', onAbort);
+      this.stopWaiting();
       exchange.cancel('attempt ended');
       this.components.metrics.countAttempt(backend.presence.service);
     }
@@ -69,18 +86,36 @@
     head: ResponseHead,
   ): Promise<AttemptResult>;
 
-  /** Reads the next bytes; cancels the exchange if none arrive in time. */
-  protected async readWithin(
+  /** Reports the backend server as silent unless progress follows in time. */
+  protected expectProgress(timeoutMs: number): void {
+    this.stopWaiting();
+    const {backend} = this.decision;
+    this.silenceTimer = setTimeout(() => {
+      backend.failures.eject(monotonicMs());
+      this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
+    }, timeoutMs);
+  }
+
+  /** Ends the watch for progress, as while the client reads slowly. */
+  protected stopWaiting(): void {
+    clearTimeout(this.silenceTimer);
+  }
+
+  /** Forwards a response once its body is complete. */
+  protected async forwardWhole(
     exchange: Exchange,
-    timeoutMs: number,
-  ): ReturnType<Exchange['read']> {
-    const timer = setTimeout(
-      () => exchange.cancel(`silent for ${timeoutMs} ms`),
-      timeoutMs,
-    );
-    const result = await exchange.read();
-    clearTimeout(timer);
-    return result;
+    head: ResponseHead,
+    writer: ResponseWriter,
+  ): Promise<AttemptResult> {
+    this.expectProgress(this.options.responseHeadTimeoutMs);
+    const body = await this.readBody(exchange);
+    if (!Buffer.isBuffer(body)) return this.handleExchangeError(body);
+    const {signal} = this.options;
+    if (signal.aborted) return createAbortedResult(signal);
+    this.options.onProgress();
+    this.decision.backend.failures.recordSuccess(monotonicMs());
+    writer.writeComplete(head, body);
+    return {outcome: AttemptOutcome.Completed, reason: `status ${head.status}`};
   }
 
   /** Reads the complete body. */
@@ -98,10 +133,8 @@
 
   /** Reports a failed exchange to the trackers and returns the result. */
   protected handleExchangeError(error: ExchangeError): AttemptResult {
-    const {signal} = this.request;
-    if (signal.aborted) {
-      return {outcome: AttemptOutcome.Cancelled, reason: String(signal.reason)};
-    }
+    const {signal} = this.options;
+    if (signal.aborted) return createAbortedResult(signal);
     const {failures, presence} = this.decision.backend;
     failures.eject(monotonicMs());
     if (error.isConnectTimeout) {
@@ -159,13 +192,9 @@
   }
 
   private async receiveResponse(exchange: Exchange): Promise<AttemptResult> {
-    const {responseHeadTimeoutMs} = this.options;
-    const timer = setTimeout(
-      () => exchange.cancel(`no answer within ${responseHeadTimeoutMs} ms`),
-      responseHeadTimeoutMs,
-    );
+    this.expectProgress(this.options.responseHeadTimeoutMs);
     const result = await exchange.head();
-    clearTimeout(timer);
+    this.stopWaiting();
     if (!result.ok) return this.handleExchangeError(result.error);
     const head = result.value;
     const metadata = this.components.dialect.readResponse(
--- a/packages/gateway/src/request/attempt_outcome.ts
+++ b/packages/gateway/src/request/attempt_outcome.ts
@@ -12,4 +12,6 @@
   Incomplete = 'broken',
   /** The client disconnected, or the deadline passed. */
   Cancelled = 'abandoned',
+  /** Another attempt of the same request made progress first. */
+  Superseded = 'superseded',
 }
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -4,6 +4,8 @@
 import type {AttemptResult} from './attempt_result.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
+import type {RunningAttempt} from './running_attempt.js';
+import {SilenceVerdict} from './silence_verdict.js';
 import type {StreamProgress} from './stream_progress.js';
 
 const LOSS_DIGITS = 3;
@@ -14,6 +16,7 @@
 export class RequestReporter {
   private attempts = 0;
   private lastDecision?: PlacementDecision;
+  private lastRefusal?: string;
 
   constructor(
     private readonly components: GatewayComponents,
@@ -43,18 +46,51 @@
     });
   }
 
+  /** Reports that nothing has arrived from a backend server for too long. */
+  reportSilence(reason: string, {decision, number}: RunningAttempt): void {
+    this.lastRefusal = undefined;
+    log.info('A backend server is silent.', {
+      request: this.request.metadata.requestId,
+      backend: decision.backend.presence.id,
+      reason,
+      attempt: number,
+      events: this.progress.events,
+      ageMs: this.ageMs(),
+    });
+  }
+
+  /** Reports once that no attempt can run beside a silent one. */
+  reportKeptAttempt(reason: string): void {
+    if (this.lastRefusal === reason) return;
+    this.lastRefusal = reason;
+    this.countSilentAttempt(SilenceVerdict.Kept);
+    log.info('No attempt beside a silent one; waiting for it.', {
+      request: this.request.metadata.requestId,
+      reason,
+      ageMs: this.ageMs(),
+    });
+  }
+
+  /** Counts an attempt that begins beside a silent one. */
+  countReplacement(): void {
+    this.countSilentAttempt(SilenceVerdict.Replaced);
+  }
+
   /** Reports an attempt that ended without a complete response. */
-  reportFailedAttempt({outcome, reason}: AttemptResult): void {
+  reportFailedAttempt(
+    {outcome, reason}: AttemptResult,
+    {decision, number}: RunningAttempt,
+  ): void {
     this.components.metrics.countFailedAttempt(
       this.request.service.name,
       outcome,
     );
     log.info('An attempt failed.', {
       request: this.request.metadata.requestId,
-      backend: this.lastDecision?.backend.presence.id,
+      backend: decision.backend.presence.id,
       end: outcome,
       reason,
-      attempt: this.attempts,
+      attempt: number,
       ageMs: this.ageMs(),
     });
   }
@@ -95,8 +131,9 @@
     outcome: AttemptOutcome,
     runState: RunState,
     code?: string,
+    decision = this.lastDecision,
   ): void {
-    const {request, components, lastDecision} = this;
+    const {request, components} = this;
     const {route, startedMs} = request;
     const firstEventAtMs = this.progress.firstEventMs;
     components.metrics.observeRequest(route, outcome, {
@@ -108,12 +145,17 @@
       runState,
       code,
       attempts: this.attempts,
-      backend: lastDecision?.backend,
-      figures: lastDecision?.prediction,
+      backend: decision?.backend,
+      figures: decision?.prediction,
       firstEventMs: firstEventAtMs && firstEventAtMs - startedMs,
     });
   }
 
+  private countSilentAttempt(verdict: SilenceVerdict): void {
+    const {name} = this.request.service;
+    this.components.metrics.countSilentAttempt(name, verdict);
+  }
+
   private ageMs(): number {
     return Math.round(monotonicMs() - this.request.startedMs);
   }
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -7,6 +7,7 @@
 import {ResponseWriter} from './response_writer.js';
 import type {AttemptOptions} from './attempt.js';
 import {AttemptOutcome} from './attempt_outcome.js';
+import {createAbortedResult} from './create_aborted_result.js';
 import type {AttemptResult} from './attempt_result.js';
 import {responseHeadTimeoutMs} from './response_head_timeout_ms.js';
 import {pauseTimeoutMs} from './pause_timeout_ms.js';
@@ -14,6 +15,8 @@
 import type {GatewayComponents} from './gateway_components.js';
 import {PlacementClaim} from './placement_claim.js';
 import {RequestReporter} from './request_reporter.js';
+import type {RunningAttempt} from './running_attempt.js';
+import {RunningAttempts, type EndedAttempt} from './running_attempts.js';
 import {sendErrorResponse} from './send_error_response.js';
 import {StreamAttempt} from './stream_attempt.js';
 import type {StreamProgress} from './stream_progress.js';
@@ -30,6 +33,11 @@
 const BACKEND_POLL_INTERVAL_MS = 100;
 /** Shortest wait for heartbeats after a start: an interval and a margin. */
 const MIN_BACKEND_WAIT_MS = 1_500;
+/**
+ * Interval at which a request whose backend server is silent asks again whether
+ * another attempt is possible.
+ */
+const SILENT_RECHECK_INTERVAL_MS = 250;
 /** Retry-After of responses to requests that did not run. */
 const RETRY_AFTER_MS = 400;
 
@@ -39,11 +47,12 @@
   private readonly progress: StreamProgress;
   private readonly reporter: RequestReporter;
   private readonly attemptedBackends = new Set<Backend>();
+  private readonly running = new RunningAttempts();
   private attempts = 0;
-  /** Attempts that a backend server may have run. */
-  private possibleRuns = 0;
-  /** Attempts that may have reached a backend server. */
-  private possibleArrivals = 0;
+  /** Attempts that have ended and that a backend server may have run. */
+  private endedRuns = 0;
+  /** Attempts that have ended and may have reached a backend server. */
+  private endedArrivals = 0;
   /** Attempts that certainly did not run. */
   private rejections = 0;
   private failureResponse?: AttemptResult['failureResponse'];
@@ -57,34 +66,98 @@
     this.reporter = new RequestReporter(components, request, this.progress);
   }
 
-  /** Makes attempts until one completes or none is possible. */
+  /**
+   * Makes attempts until one completes or none is possible. While the backend
+   * server of an attempt is silent, another attempt runs beside it.
+   */
   async run(): Promise<void> {
-    const {request, components} = this;
+    const {request, components, running} = this;
+    const {signal} = request;
     components.retryBudget.countRequest(
       request.service.name,
       request.startedMs,
     );
-    while (!request.signal.aborted) {
-      const decision = this.place();
-      if (!decision) {
-        if (await this.waitForBackend()) continue;
-        return;
+    const onAbort = (): void => running.abort(signal.reason);
+    signal.addEventListener('abort', onAbort, {once: true});
+    try {
+      await this.makeAttempts();
+    } finally {
+      signal.removeEventListener('abort', onAbort);
+      running.abort(AbortReason.Superseded);
+    }
+  }
+
+  private async makeAttempts(): Promise<void> {
+    const {running} = this;
+    const {signal} = this.request;
+    let failure: string | undefined;
+    while (!signal.aborted) {
+      const refusal = running.areAllSilent
+        ? (failure ?? (await this.startAttempt()))
+        : undefined;
+      if (signal.aborted) break;
+      if (refusal !== undefined) {
+        if (running.size === 0) return this.finishFailed(refusal);
+        this.reporter.reportKeptAttempt(refusal);
       }
-      if (!this.acquireRetry())
-        return this.finishFailed('retry budget is used up');
-      const result = await this.runAttempt(decision);
-      if (result.outcome === AttemptOutcome.Completed) {
-        return this.reporter.reportOutcome(result.outcome, RunState.Done);
+      await running.waitForChange(
+        refusal === undefined ? undefined : SILENT_RECHECK_INTERVAL_MS,
+      );
+      for (;;) {
+        const ended = running.takeEnded();
+        if (!ended) break;
+        if (ended.result.outcome === AttemptOutcome.Completed)
+          return this.finishCompleted(ended);
+        failure = this.handleFailedAttempt(ended);
       }
-      if (result.outcome === AttemptOutcome.Cancelled) break;
-      this.reporter.reportFailedAttempt(result);
-      this.failureResponse = result.failureResponse ?? this.failureResponse;
-      if (!this.mayRetry(result.outcome))
-        return this.finishFailed(result.reason);
     }
     this.finishCancelled();
   }
 
+  /**
+   * Starts an attempt. Returns why none is possible; without an attempt in
+   * progress, waits until the service has a backend server.
+   */
+  private async startAttempt(): Promise<string | undefined> {
+    const {signal} = this.request;
+    while (!signal.aborted) {
+      if (!this.mayStartAttempt) return 'no further attempt is allowed';
+      const decision = this.place();
+      if (decision) {
+        if (!this.acquireRetry()) return 'retry budget is used up';
+        this.launch(decision);
+        return undefined;
+      }
+      const isWaiting = this.running.size === 0 && this.mayWaitForBackend;
+      if (!isWaiting) {
+        return this.attemptedBackends.size > 0
+          ? 'every backend server has refused'
+          : 'no backend server can take the request';
+      }
+      await sleep(BACKEND_POLL_INTERVAL_MS, signal);
+    }
+    return undefined;
+  }
+
+  /**
+   * Takes note of an attempt without a complete response. Returns why no other
+   * one may follow.
+   */
+  private handleFailedAttempt({
+    attempt,
+    result,
+  }: EndedAttempt): string | undefined {
+    const {outcome, reason} = result;
+    if (
+      outcome === AttemptOutcome.Cancelled ||
+      outcome === AttemptOutcome.Superseded
+    )
+      return undefined;
+    this.reporter.reportFailedAttempt(result, attempt);
+    this.failureResponse = result.failureResponse ?? this.failureResponse;
+    return this.mayStartAttempt ? undefined : reason;
+  }
+
   private place(): PlacementDecision | undefined {
     const {request, components} = this;
     const {service, route, metadata} = request;
@@ -111,26 +184,15 @@
     });
   }
 
-  /**
-   * Waits until the service has a backend server, as after a start. Returns
-   * whether to place again; if not, the request was refused.
-   */
-  private async waitForBackend(): Promise<boolean> {
-    const {request, components} = this;
-    const {service, signal, route, startedMs} = request;
-    const hasCandidates =
-      components.backends.candidates(service.name).length > 0;
+  /** Whether the service may still get its first backend server in time. */
+  private get mayWaitForBackend(): boolean {
+    const {service, route, startedMs} = this.request;
+    const {backends} = this.components;
     const waitMs = Math.max(route.latencyGoalMs, MIN_BACKEND_WAIT_MS);
-    if (hasCandidates || monotonicMs() - startedMs > waitMs) {
-      this.finishFailed(
-        this.attemptedBackends.size > 0
-          ? 'every backend server has refused'
-          : 'no backend server can take the request',
-      );
-      return false;
-    }
-    await sleep(BACKEND_POLL_INTERVAL_MS, signal);
-    return true;
+    return (
+      backends.candidates(service.name).length === 0 &&
+      monotonicMs() - startedMs <= waitMs
+    );
   }
 
   /**
@@ -145,41 +207,58 @@
     return isGranted;
   }
 
-  private async runAttempt(
-    decision: PlacementDecision,
-  ): Promise<AttemptResult> {
+  /** Runs an attempt beside those in progress. */
+  private launch(decision: PlacementDecision): void {
+    if (this.running.size > 0) this.reporter.countReplacement();
     this.attempts++;
     this.attemptedBackends.add(decision.backend);
     this.reporter.reportAttempt(decision);
+    const attempt: RunningAttempt = {
+      number: this.attempts,
+      decision,
+      controller: new AbortController(),
+      isSilent: false,
+      wasSent: false,
+    };
+    this.running.add(attempt, () => this.runAttempt(attempt));
+  }
+
+  private async runAttempt(attempt: RunningAttempt): Promise<AttemptResult> {
+    const {decision, controller} = attempt;
     const {notices} = this.components;
-    const workId = `${this.request.metadata.requestId}/${this.attempts}`;
+    const workId = `${this.request.metadata.requestId}/${attempt.number}`;
     const claim = new PlacementClaim({notices, workId, decision});
-    const reservations = await this.reserveMemory(decision);
-    if (!reservations) {
+    const finished = new AbortController();
+    let result: AttemptResult;
+    try {
+      const reservations = await this.reserveMemory(decision);
+      if (reservations && reservations.length > 0)
+        void this.components.memory.renew(reservations, finished.signal);
+      result = reservations
+        ? await this.sendRequest(attempt, reservations, claim)
+        : {
+            outcome: AttemptOutcome.NotSent,
+            reason: 'no memory for the context',
+          };
+    } finally {
       claim.release();
-      this.rejections++;
-      return {
-        outcome: AttemptOutcome.NotSent,
-        reason: 'no memory for the context',
-      };
+      finished.abort();
     }
-    const finished = new AbortController();
-    if (reservations.length > 0)
-      void this.components.memory.renew(reservations, finished.signal);
-    const result = await this.sendRequest(decision, reservations, claim);
-    claim.release();
-    finished.abort();
-    if (result.outcome !== AttemptOutcome.NotSent) this.possibleArrivals++;
+    if (result.outcome === AttemptOutcome.NotSent) attempt.wasSent = false;
+    if (attempt.wasSent) this.endedArrivals++;
     if (result.faultyHelper) {
       this.attemptedBackends.add(result.faultyHelper);
       this.attemptedBackends.delete(decision.backend);
     }
-    const mayHaveRun =
-      result.outcome !== AttemptOutcome.NotSent &&
-      result.outcome !== AttemptOutcome.NotRun;
-    if (mayHaveRun) this.possibleRuns++;
-    else this.rejections++;
-    if (!mayHaveRun) await sleep(RETRY_DELAY_MS, this.request.signal);
+    const wasRejected =
+      result.outcome === AttemptOutcome.NotSent ||
+      result.outcome === AttemptOutcome.NotRun;
+    if (wasRejected) {
+      this.rejections++;
+      await sleep(RETRY_DELAY_MS, controller.signal);
+    } else if (attempt.wasSent) {
+      this.endedRuns++;
+    }
     return result;
   }
 
@@ -191,11 +270,16 @@
   }
 
   private async sendRequest(
-    decision: PlacementDecision,
+    attempt: RunningAttempt,
     reservations: readonly MemoryReservation[],
     claim: PlacementClaim,
   ): Promise<AttemptResult> {
+    const {decision, controller} = attempt;
+    const {signal} = controller;
+    if (signal.aborted) return createAbortedResult(signal);
     const {route} = this.request;
+    const isLastAttempt = this.possibleRuns + 1 >= route.maxAttempts;
+    attempt.wasSent = true;
     const options: AttemptOptions = {
       claim,
       reservations,
@@ -203,34 +287,45 @@
       request: this.request,
       decision,
       lastEventId: this.progress.lastEventId,
-      responseHeadTimeoutMs: responseHeadTimeoutMs(
-        this.request,
-        this.isLastAttempt,
-      ),
+      responseHeadTimeoutMs: responseHeadTimeoutMs(this.request, isLastAttempt),
+      signal,
+      onSilent: reason => {
+        this.reporter.reportSilence(reason, attempt);
+        this.running.recordSilence(attempt);
+      },
+      onProgress: () => this.running.recordProgress(attempt),
     };
-    const attempt = route.isStream
+    const sender = route.isStream
       ? new StreamAttempt({
           ...options,
           writer: this.writer,
           progress: this.progress,
-          pauseTimeoutMs: pauseTimeoutMs(this.request, this.isLastAttempt),
+          pauseTimeoutMs: pauseTimeoutMs(this.request, isLastAttempt),
         })
       : new BufferedAttempt(options, this.writer);
-    return attempt.run();
+    return sender.run();
   }
 
-  /** Whether another attempt may follow one with this outcome. */
-  private mayRetry(outcome: AttemptOutcome): boolean {
+  /** Attempts that a backend server may have run or may be running. */
+  private get possibleRuns(): number {
+    return this.endedRuns + this.running.sentCount;
+  }
+
+  /** Whether the route and the attempts so far allow another attempt. */
+  private get mayStartAttempt(): boolean {
     if (this.rejections >= MAX_REJECTIONS) return false;
-    if (outcome === AttemptOutcome.NotSent || outcome === AttemptOutcome.NotRun)
-      return true;
+    if (this.possibleRuns === 0) return true;
     const {route} = this.request;
     return isRetryable(route) && this.possibleRuns < route.maxAttempts;
   }
 
-  /** Whether the route allows no attempt after the next if that may run. */
-  private get isLastAttempt(): boolean {
-    return this.possibleRuns + 1 >= this.request.route.maxAttempts;
+  private finishCompleted({attempt, result}: EndedAttempt): void {
+    this.reporter.reportOutcome(
+      result.outcome,
+      RunState.Done,
+      undefined,
+      attempt.decision,
+    );
   }
 
   /** Reports the failure and ends the response; no attempt follows. */
@@ -278,6 +373,11 @@
     });
   }
 
+  /** Attempts that may have reached a backend server. */
+  private get possibleArrivals(): number {
+    return this.endedArrivals + this.running.sentCount;
+  }
+
   private get responseHeaders(): Record<string, string> {
     const {metadata} = this.request;
     return this.components.dialect.writeResponse(metadata.requestId);
--- /dev/null
+++ b/packages/gateway/src/request/running_attempt.ts
@@ -0,0 +1,14 @@
+import type {PlacementDecision} from '../placement/placement_decision.js';
+
+/** An attempt of a request that has not ended. */
+export interface RunningAttempt {
+  /** 1 for the first attempt of the request. */
+  readonly number: number;
+  readonly decision: PlacementDecision;
+  /** Ends the attempt; the reason is an `AbortReason`. */
+  readonly controller: AbortController;
+  /** Whether nothing has arrived for longer than the timeout. */
+  isSilent: boolean;
+  /** Whether the request may have reached the backend server. */
+  wasSent: boolean;
+}
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -6,6 +6,7 @@
 import type {ResponseWriter} from './response_writer.js';
 import {Attempt, type AttemptOptions} from './attempt.js';
 import {AttemptOutcome} from './attempt_outcome.js';
+import {createAbortedResult} from './create_aborted_result.js';
 import type {AttemptResult} from './attempt_result.js';
 import {EventSplitter} from './event_splitter.js';
 import type {StreamProgress} from './stream_progress.js';
@@ -14,7 +15,7 @@
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly writer: ResponseWriter;
   readonly progress: StreamProgress;
-  /** Pause between events after which the attempt is cancelled. */
+  /** Pause between events after which `onSilent` is called. */
   readonly pauseTimeoutMs: number;
 }
 
@@ -24,6 +25,13 @@
     super(streamOptions);
   }
 
+  private startForwarding(head: ResponseHead): void {
+    const {writer, onProgress} = this.streamOptions;
+    this.stopWaiting();
+    onProgress();
+    if (!writer.hasSentHead) writer.writeHead(head);
+  }
+
   private trackEvents(count: number): void {
     const {progress} = this.streamOptions;
     const nowMs = monotonicMs();
@@ -38,34 +46,38 @@
     exchange: Exchange,
     head: ResponseHead,
   ): Promise<AttemptResult> {
-    const {writer, progress, pauseTimeoutMs, responseHeadTimeoutMs} =
+    const {writer, progress, pauseTimeoutMs, responseHeadTimeoutMs, signal} =
       this.streamOptions;
-    if (!writer.hasSentHead) writer.writeHead(head);
     const splitter = new EventSplitter();
-    const {signal} = this.request;
+    this.expectProgress(
+      progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
+    );
     for (;;) {
-      const isFirst = progress.events === 0;
-      const timeoutMs = isFirst ? responseHeadTimeoutMs : pauseTimeoutMs;
-      const result = await this.readWithin(exchange, timeoutMs);
+      const result = await exchange.read();
+      if (signal.aborted) return createAbortedResult(signal);
       if (!result.ok) return this.handleExchangeError(result.error);
       if (!result.value) break;
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
+      this.startForwarding(head);
       this.streamOptions.claim.markPrefilled();
       this.trackEvents(count);
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
       await writer.write(bytes, signal);
-      if (signal.aborted) {
-        return this.handleExchangeError(new ExchangeError(true, 'abandoned'));
-      }
+      if (signal.aborted) return createAbortedResult(signal);
+      this.expectProgress(pauseTimeoutMs);
     }
     const remainder = splitter.takeRemainder();
-    const isEndReliable = isFramed(head) || !writer.isFramed;
+    const isClientFramed = writer.hasSentHead
+      ? writer.isFramed
+      : isFramed(head);
+    const isEndReliable = isFramed(head) || !isClientFramed;
     if (!isEndReliable || (remainder.length > 0 && !isFramed(head))) {
       return this.handleExchangeError(
         new ExchangeError(true, 'ended without a mark'),
       );
     }
+    this.startForwarding(head);
     await writer.write(remainder, signal);
     this.decision.backend.failures.recordSuccess(monotonicMs());
     writer.end();
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptOutcome} from '../request/attempt_outcome.js';
+import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 
 const MS_PER_SECOND = 1_000;
@@ -47,6 +48,12 @@
     labelNames: ['service', 'end'],
     registers: [this.registry],
   });
+  private readonly silentAttempts = new Counter({
+    name: 'vmux_gateway_silent_attempts_total',
+    help: 'Silent attempts beside which another one began, or none could.',
+    labelNames: ['service', 'verdict'],
+    registers: [this.registry],
+  });
   private readonly retries = new Counter({
     name: 'vmux_gateway_repeats_total',
     help: 'Repeats that drew on the shared retry budget, or were denied by it.',
@@ -135,6 +142,11 @@
     this.failedAttempts.inc({service, end});
   }
 
+  /** Counts a silent attempt by what followed. */
+  countSilentAttempt(service: string, verdict: SilenceVerdict): void {
+    this.silentAttempts.inc({service, verdict});
+  }
+
   /** Counts a retry that the shared retry budget granted or denied. */
   countRetry(service: string, isGranted: boolean): void {
     this.retries.inc({service, verdict: isGranted ? 'granted' : 'denied'});
