fix(gateway): a stream is complete if its end falls between events

Clients saw a stream cut although a backend server had sent all of it, and a chunked stream that ended inside an event was passed on as if it were complete.

Cause: whether an end was reliable was decided by the framing alone. A resumed response without framing after one with framing always counted as broken ('ended without a mark'), and the remainder after the last event of a framed stream was written out. An event stream tells by itself whether it is complete: it ends after a blank line. Responses that are no success, and thus no event stream, are forwarded as a whole.

--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -2,7 +2,6 @@
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import {ExchangeError} from '../connection/exchange_error.js';
-import {isFramed} from '../connection/is_framed.js';
 import type {ResponseWriter} from './response_writer.js';
 import {Attempt, type AttemptOptions} from './attempt.js';
 import {AttemptOutcome} from './attempt_outcome.js';
@@ -11,6 +10,8 @@
 import {EventSplitter} from './event_splitter.js';
 import type {StreamProgress} from './stream_progress.js';
 
+const FIRST_NON_SUCCESS_STATUS = 300;
+
 /** Options of a `StreamAttempt`. */
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly writer: ResponseWriter;
@@ -48,6 +49,7 @@
   ): Promise<AttemptResult> {
     const {writer, progress, pauseTimeoutMs, responseHeadTimeoutMs, signal} =
       this.streamOptions;
+    if (!isSuccess(head)) return this.forwardWhole(exchange, head, writer);
     const splitter = new EventSplitter();
     this.expectProgress(
       progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
@@ -67,20 +69,20 @@
       if (signal.aborted) return createAbortedResult(signal);
       this.expectProgress(pauseTimeoutMs);
     }
-    const remainder = splitter.takeRemainder();
-    const isClientFramed = writer.hasSentHead
-      ? writer.isFramed
-      : isFramed(head);
-    const isEndReliable = isFramed(head) || !isClientFramed;
-    if (!isEndReliable || (remainder.length > 0 && !isFramed(head))) {
+    // A stream is complete if its end falls between events, with or without
+    // framing; the exchange itself fails on a reset.
+    if (splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
-        new ExchangeError(true, 'ended without a mark'),
+        new ExchangeError(true, 'ended inside an event'),
       );
     }
     this.startForwarding(head);
-    await writer.write(remainder, signal);
     this.decision.backend.failures.recordSuccess(monotonicMs());
     writer.end();
     return {outcome: AttemptOutcome.Completed, reason: `status ${head.status}`};
   }
 }
+
+function isSuccess({status}: ResponseHead): boolean {
+  return status < FIRST_NON_SUCCESS_STATUS;
+}
