fix(gateway): an error response is not appended to a resumed stream

When a resumed attempt was answered with a client error such as 400, its body was written behind the events of the first attempt, and the stream ended as if complete. Such a response now fails the attempt. The case in stream_framing.test.ts failed before.

--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -49,7 +49,13 @@
   ): Promise<AttemptResult> {
     const {writer, progress, pauseTimeoutMs, responseHeadTimeoutMs, signal} =
       this.streamOptions;
-    if (!isSuccess(head)) return this.forwardWhole(exchange, head, writer);
+    if (!isSuccess(head)) {
+      if (!writer.hasSentHead) return this.forwardWhole(exchange, head, writer);
+      return {
+        outcome: AttemptOutcome.Incomplete,
+        reason: `backend server answered ${head.status} to a resumed stream`,
+      };
+    }
     const splitter = new EventSplitter();
     this.expectProgress(
       progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
