fix(gateway): an aborted response does not look complete

A response without framing that failed was closed like one that had ended, so a client took a truncated stream for a complete one. Such a response is now reset. Events that had been written in the turn of the failure were dropped with the socket; they are sent first.

--- a/packages/gateway/src/request/response_writer.ts
+++ b/packages/gateway/src/request/response_writer.ts
@@ -4,6 +4,14 @@
 import {isFramed} from '../connection/is_framed.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 
+/** Time in which a client may read what was written before an abort. */
+const FLUSH_TIMEOUT_MS = 500;
+/**
+ * Delay before a reset, which discards what the client has not read. Several
+ * round trips within a region.
+ */
+const RESET_DELAY_MS = 20;
+
 /** Writes the response of a backend server to the client. */
 export class ResponseWriter {
   /** Whether the client can tell a complete response from a truncated one. */
@@ -46,9 +54,19 @@
     this.res.end();
   }
 
-  /** Destroys the connection, so that the response does not look complete. */
+  /**
+   * Closes the connection so that the response does not look complete, after
+   * what was written before has been sent. A response without framing is reset,
+   * because a normal end would make it look complete.
+   */
   abort(): void {
-    this.res.destroy();
+    const {socket} = this.res;
+    if (!socket || socket.destroyed) return;
+    const timer = this.isFramed
+      ? setTimeout(() => socket.destroy(), FLUSH_TIMEOUT_MS)
+      : setTimeout(() => socket.resetAndDestroy(), RESET_DELAY_MS);
+    socket.once('close', () => clearTimeout(timer));
+    if (this.isFramed) socket.destroySoon();
   }
 
   /**
