--- a/packages/gateway/src/dialect/request_metadata.ts
+++ b/packages/gateway/src/dialect/request_metadata.ts
@@ -10,6 +10,8 @@
   readonly maxOutputTokens: number;
   /** Estimated number of output tokens. */
   readonly expectedOutputTokens: number;
+  /** Ids of the prompt's parts that other requests may share, in order. */
+  readonly sharedParts?: readonly string[];
   /** Id of the last event that the client received of a broken stream. */
   readonly lastEventId?: string;
 }
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -79,19 +79,23 @@
   /** Reports an attempt that ended without a complete response. */
   reportFailedAttempt(
     {outcome, reason}: AttemptResult,
-    {decision, number}: RunningAttempt,
+    {decision, number, firstProgressMs}: RunningAttempt,
   ): void {
+    const {requestId, sharedParts} = this.request.metadata;
     this.components.metrics.countFailedAttempt(
       this.request.service.name,
       outcome,
     );
     log.info('An attempt failed.', {
-      request: this.request.metadata.requestId,
+      request: requestId,
       backend: decision.backend.presence.id,
       end: outcome,
       reason,
       attempt: number,
       ageMs: this.ageMs(),
+      progressAgeMs:
+        firstProgressMs && Math.round(monotonicMs() - firstProgressMs),
+      sharedParts: sharedParts?.join(),
     });
   }
 
--- a/packages/gateway/src/request/running_attempt.ts
+++ b/packages/gateway/src/request/running_attempt.ts
@@ -9,6 +9,8 @@
   readonly controller: AbortController;
   /** Whether nothing has arrived for longer than the timeout. */
   isSilent: boolean;
+  /** When bytes were first forwarded, on the monotonic clock. */
+  firstProgressMs?: number;
   /** Whether the request may have reached the backend server. */
   wasSent: boolean;
 }
--- a/packages/gateway/src/request/running_attempts.ts
+++ b/packages/gateway/src/request/running_attempts.ts
@@ -1,4 +1,4 @@
-import {Deferred, sleep} from '@vanillamux/shared';
+import {Deferred, monotonicMs, sleep} from '@vanillamux/shared';
 import {AbortReason} from './abort_reason.js';
 import type {AttemptResult} from './attempt_result.js';
 import type {RunningAttempt} from './running_attempt.js';
@@ -58,6 +58,7 @@
   /** Records progress of an attempt, which ends all others. */
   recordProgress(attempt: RunningAttempt): void {
     attempt.isSilent = false;
+    attempt.firstProgressMs ??= monotonicMs();
     for (const other of this.running) {
       if (other !== attempt) other.controller.abort(AbortReason.Superseded);
     }
