fix(gateway): a prompt part that crashes backend servers is quarantined on all hosts

Cause: nothing tied the end of a backend server to what the request that it was answering shares with others, and what one host saw of it no other host learned. Each request was new, and each was retried on another server.

Change: a lost connection behind which nothing listens any more counts as the end of the backend server. The shared parts of the prompts that it had not clearly begun to answer are its suspects, reported to all entry hosts over the placement notices. A part that is among the suspects of three ends, and with which no request was answered in 10 s on any host, explains them: requests with it are refused as not run, on all hosts, for 60 s. Then one host lets one request through; its end doubles the time, its answer lifts the quarantine everywhere. Facts have a generation, are bounded in number and time, and are sent again to some peers each second, for hosts that were cut off or start. Sound requests that share the other parts are served: soundness is reported, the ends that a quarantined part explains count against no other, and a reset of a single connection counts for nothing.

--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -16,6 +16,7 @@
   const metrics = new GatewayMetrics();
   metrics.registerGauges({
     inFlight: () => 3,
+    quarantinedParts: () => 1,
     configVersion: () => 7,
     configAgeS: () => 1.5,
     controlHosts: () => 2,
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -52,6 +52,11 @@
       },
       memory: {reserve: async () => []},
       notices: {tell: () => {}, tellEnd: () => {}},
+      quarantine: {
+        check: () => undefined,
+        watch: () => ({}),
+        end: async () => {},
+      },
       requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
       metrics: {
         observeRequest: () => {},
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -8,6 +8,8 @@
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
+/** Errors of a connection that its peer has closed or reset. */
+const DISCONNECT_CODES = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
 
 /** One request and its response on one connection to a backend server. */
 export class Exchange implements Dispatcher.DispatchHandler {
@@ -90,7 +92,8 @@
   }
 
   onResponseEnd(): void {
-    if (this.connection.hasFailed) return this.failWith('connection reset');
+    if (this.connection.hasFailed)
+      return this.failWith('connection reset', {isDisconnect: true});
     this.isComplete = true;
     this.stateChanged.resolve();
     // The undici client updates its own state in this turn of the event loop.
@@ -102,11 +105,22 @@
     error: Error,
   ): void {
     const {code} = error as NodeJS.ErrnoException;
-    this.failWith(error.message, code === CONNECT_TIMEOUT_CODE);
+    this.failWith(error.message, {
+      isConnectTimeout: code === CONNECT_TIMEOUT_CODE,
+      isDisconnect: code !== undefined && DISCONNECT_CODES.has(code),
+    });
   }
 
-  private failWith(reason: string, isConnectTimeout = false): void {
-    this.error ??= new ExchangeError(this.wasSent, reason, isConnectTimeout);
+  private failWith(
+    reason: string,
+    {isConnectTimeout = false, isDisconnect = false} = {},
+  ): void {
+    this.error ??= new ExchangeError(
+      this.wasSent,
+      reason,
+      isConnectTimeout,
+      isDisconnect,
+    );
     this.responseHead.resolve(fail(this.error));
     this.stateChanged.resolve();
   }
--- a/packages/gateway/src/connection/exchange_error.ts
+++ b/packages/gateway/src/connection/exchange_error.ts
@@ -6,6 +6,8 @@
     readonly reason: string,
     /** Whether the backend server did not accept the connection in time. */
     readonly isConnectTimeout = false,
+    /** Whether the backend server closed or reset the connection. */
+    readonly isDisconnect = false,
   ) {
     super(reason);
     this.name = 'ExchangeError';
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -2,6 +2,7 @@
 import type {EntryPeer} from '@vanillamux/protocol';
 import {
   ErrorCodes,
+  EventBus,
   fail,
   getLogger,
   monotonicMs,
@@ -10,8 +11,10 @@
   type Address,
   type Result,
 } from '@vanillamux/shared';
+import type {Stream} from 'most';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
+import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
 import {chooseReceivers, type Receiver} from './choose_receivers.js';
 import type {PlacementNotice} from './placement_notice.js';
 import {placementNoticeSchema} from './placement_notice_schema.js';
@@ -33,6 +36,7 @@
  */
 export class PeerNotices {
   private readonly socket: Socket = createSocket('udp4');
+  private readonly quarantineBus = new EventBus<QuarantineNotice>();
   private peers: readonly EntryPeer[] = [];
 
   constructor(private readonly options: PeerNoticesOptions) {
@@ -98,11 +102,47 @@
     });
   }
 
+  /** Broadcasts ends of backend servers and what follows for prompt parts. */
+  broadcastQuarantine(quarantine: QuarantineNotice): void {
+    this.broadcast(this.createQuarantineNotice(quarantine));
+  }
+
+  /** Sends a notice to `count` random peers. */
+  sendQuarantine(quarantine: QuarantineNotice, count: number): void {
+    const start = Math.floor(Math.random() * this.peers.length);
+    const receivers = [
+      ...this.peers.slice(start),
+      ...this.peers.slice(0, start),
+    ].slice(0, count);
+    this.send(
+      this.createQuarantineNotice(quarantine),
+      receivers.map(peer => ({peer, relay: false})),
+    );
+  }
+
+  /** Streams the notices of other hosts about prompt parts. */
+  quarantineNotices(): Stream<QuarantineNotice> {
+    return this.quarantineBus.stream();
+  }
+
   /** Closes the socket. */
   close(): void {
     this.socket.close();
   }
 
+  private createQuarantineNotice(
+    quarantine: QuarantineNotice,
+  ): PlacementNotice {
+    return {
+      from: this.options.id,
+      work: '',
+      relay: false,
+      placed: [],
+      ended: [],
+      quarantine: {sound: [], facts: [], ...quarantine},
+    };
+  }
+
   private broadcast(notice: PlacementNotice): void {
     const {failureDomain} = this.options;
     this.send(notice, chooseReceivers(this.peers, failureDomain, Math.random));
@@ -132,6 +172,7 @@
         nowMs,
       );
     }
+    if (notice.quarantine) this.quarantineBus.emit(notice.quarantine);
     if (notice.relay) this.relay(notice);
   }
 
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {quarantineNoticeSchema} from '../quarantine/quarantine_notice_schema.js';
 
 const nonNegativeSchema = z.number().min(0);
 
@@ -23,4 +24,6 @@
   placed: z.array(placedWorkSchema),
   /** Backend servers on which the work has ended. */
   ended: z.array(z.string()).default([]),
+  /** Ends of backend servers, and prompt parts that explain them. */
+  quarantine: quarantineNoticeSchema.optional(),
 });
--- a/packages/gateway/src/request/abort_reason.ts
+++ b/packages/gateway/src/request/abort_reason.ts
@@ -2,6 +2,8 @@
 export enum AbortReason {
   ClientDisconnected = 'client_left',
   DeadlineExceeded = 'deadline_passed',
+  /** A part of the prompt crashes backend servers. */
+  Quarantined = 'quarantined',
   /** Another attempt made progress first; the request goes on. */
   Superseded = 'superseded',
 }
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -145,7 +145,11 @@
     const outcome = error.mayHaveBeenSent
       ? AttemptOutcome.Incomplete
       : AttemptOutcome.NotSent;
-    return {outcome, reason: error.reason};
+    return {
+      outcome,
+      reason: error.reason,
+      isDisconnected: error.mayHaveBeenSent && error.isDisconnect,
+    };
   }
 
   /** Lists the helpers; engines with a reservation come first, in order. */
--- a/packages/gateway/src/request/attempt_result.ts
+++ b/packages/gateway/src/request/attempt_result.ts
@@ -6,6 +6,8 @@
 export interface AttemptResult {
   readonly outcome: AttemptOutcome;
   readonly reason: string;
+  /** Whether the backend server closed or reset the connection. */
+  readonly isDisconnected?: boolean;
   /** Helper that is at fault, rather than the backend server asked. */
   readonly faultyHelper?: Backend;
   /** Response with which the backend server reported a server error. */
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -5,6 +5,7 @@
 import type {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {PlacementPolicies} from '../placement/placement_policies.js';
+import type {QuarantineManager} from '../quarantine/quarantine_manager.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import type {RequestRecorder} from './request_recorder.js';
 import type {SharedRetryBudget} from './shared_retry_budget.js';
@@ -19,6 +20,7 @@
   readonly retryBudget: SharedRetryBudget;
   readonly memory: MemoryReservationManager;
   readonly notices: PeerNotices;
+  readonly quarantine: QuarantineManager;
   readonly requestRecorder: RequestRecorder;
   readonly metrics: GatewayMetrics;
   /** Whether the host is draining before it stops. */
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -55,6 +55,8 @@
   private endedArrivals = 0;
   /** Attempts that certainly did not run. */
   private rejections = 0;
+  /** Retry-After of a response to a request that did not run. */
+  private retryAfterMs = RETRY_AFTER_MS;
   private failureResponse?: AttemptResult['failureResponse'];
 
   constructor(
@@ -122,6 +124,12 @@
     const {signal} = this.request;
     while (!signal.aborted) {
       if (!this.mayStartAttempt) return 'no further attempt is allowed';
+      const {requestId, sharedParts = []} = this.request.metadata;
+      const refusal = this.components.quarantine.check(requestId, sharedParts);
+      if (refusal) {
+        this.retryAfterMs = refusal.retryAfterMs;
+        return refusal.reason;
+      }
       const decision = this.place();
       if (decision) {
         if (!this.acquireRetry()) return 'retry budget is used up';
@@ -280,6 +288,14 @@
     const {route} = this.request;
     const isLastAttempt = this.possibleRuns + 1 >= route.maxAttempts;
     attempt.wasSent = true;
+    const {quarantine} = this.components;
+    const {requestId, sharedParts = []} = this.request.metadata;
+    const watched = quarantine.watch({
+      requestId,
+      backend: decision.backend,
+      parts: sharedParts,
+      abort: () => controller.abort(AbortReason.Quarantined),
+    });
     const options: AttemptOptions = {
       claim,
       reservations,
@@ -301,9 +317,14 @@
           writer: this.writer,
           progress: this.progress,
           pauseTimeoutMs: pauseTimeoutMs(this.request, isLastAttempt),
+          onEvents: () => quarantine.recordProgress(watched),
         })
       : new BufferedAttempt(options, this.writer);
-    return sender.run();
+    const result = await sender.run();
+    if (result.outcome === AttemptOutcome.Completed)
+      quarantine.recordSound(watched);
+    await quarantine.end(watched, result.isDisconnected ?? false);
+    return result;
   }
 
   /** Attempts that a backend server may have run or may be running. */
@@ -348,7 +369,7 @@
     sendErrorResponse(request.res, {
       status: hasRun ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE,
       reason,
-      retryAfterMs: hasRun ? undefined : RETRY_AFTER_MS,
+      retryAfterMs: hasRun ? undefined : this.retryAfterMs,
       headers: this.responseHeaders,
     });
   }
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -16,6 +16,8 @@
 export interface StreamAttemptOptions extends AttemptOptions {
   readonly writer: ResponseWriter;
   readonly progress: StreamProgress;
+  /** Called when events have arrived. */
+  readonly onEvents: () => void;
   /** Pause between events after which `onSilent` is called. */
   readonly pauseTimeoutMs: number;
 }
@@ -68,6 +70,7 @@
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
       this.startForwarding(head);
+      this.streamOptions.onEvents();
       this.streamOptions.claim.markPrefilled();
       this.trackEvents(count);
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
@@ -79,7 +82,7 @@
     // framing; the exchange itself fails on a reset.
     if (splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
-        new ExchangeError(true, 'ended inside an event'),
+        new ExchangeError(true, 'ended inside an event', false, true),
       );
     }
     this.startForwarding(head);
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -23,6 +23,7 @@
 import type {LinkListener} from '../link/link_listener.js';
 import {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import {PlacementPolicies} from '../placement/placement_policies.js';
+import {QuarantineManager} from '../quarantine/quarantine_manager.js';
 import {PeerNotices} from '../peers/peer_notices.js';
 import {PeerRoster} from '../peers/peer_roster.js';
 import type {GatewayComponents} from '../request/gateway_components.js';
@@ -83,6 +84,7 @@
   private readonly stopping = new AbortController();
   private readonly notices: PeerNotices;
   private readonly roster = new PeerRoster();
+  private readonly quarantine: QuarantineManager;
   private readonly clientServer: Server;
   private readonly probeServers: Server[] = [];
   private readonly metrics = new GatewayMetrics();
@@ -118,6 +120,12 @@
       address: settings.peers,
       backends: this.backends,
     });
+    this.quarantine = new QuarantineManager({
+      id: settings.id,
+      notices: this.notices,
+      metrics: this.metrics,
+      hostIds: () => this.roster.current(monotonicMs()).map(({id}) => id),
+    });
     this.handler = new RequestHandler(this.createParts());
     this.clientServer = this.createClientServer();
     this.metrics.registerGauges(this.createGauges());
@@ -134,6 +142,7 @@
     const noticesBound = await gateway.notices.listen();
     if (!noticesBound.ok) return noticesBound;
     gateway.links.start();
+    gateway.quarantine.start();
     void gateway.recorder.run(gateway.stopping.signal);
     const {listen: address} = options.settings;
     log.info('Listening.', {address: address.host, port: address.port});
@@ -158,6 +167,7 @@
     await this.recorder.close(RECORD_FLUSH_TIMEOUT_MS);
     this.stopping.abort();
     this.links.stop();
+    this.quarantine.stop();
     this.notices.close();
     this.connections.close();
     for (const probe of this.probeServers) probe.close();
@@ -213,6 +223,7 @@
       requestRecorder: new RequestRecorder(this.recorder),
       memory: new MemoryReservationManager(dialect, this.connections),
       notices: this.notices,
+      quarantine: this.quarantine,
       metrics: this.metrics,
       isDraining: () => this.readiness.draining,
     };
@@ -223,6 +234,7 @@
       inFlight: () => this.handler.inFlight,
       configVersion: () => this.config.version,
       configAgeS: () => this.config.ageMs / MS_PER_SECOND,
+      quarantinedParts: () => this.quarantine.size,
       controlHosts: () => this.links.hosts().length,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
       backends: () =>
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -8,6 +8,8 @@
   configVersion(): number;
   /** Seconds since the configuration was applied; 0 before the first. */
   configAgeS(): number;
+  /** Prompt parts in quarantine. */
+  quarantinedParts(): number;
   /** Control hosts that respond. */
   controlHosts(): number;
   /** Entries of the record that no control host has acknowledged. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -2,6 +2,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptOutcome} from '../request/attempt_outcome.js';
+import type {QuarantineEvent} from '../quarantine/quarantine_event.js';
 import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 
@@ -54,6 +55,12 @@
     labelNames: ['service', 'verdict'],
     registers: [this.registry],
   });
+  private readonly quarantineEvents = new Counter({
+    name: 'vmux_gateway_quarantine_events_total',
+    help: 'Events of the quarantine of prompt parts that crash backend servers.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
   private readonly retries = new Counter({
     name: 'vmux_gateway_repeats_total',
     help: 'Repeats that drew on the shared retry budget, or were denied by it.',
@@ -91,6 +98,11 @@
         'Time since the configuration came into force.',
         () => gauges.configAgeS(),
       ],
+      [
+        'vmux_gateway_quarantined_parts',
+        'Prompt parts in quarantine.',
+        () => gauges.quarantinedParts(),
+      ],
       [
         'vmux_gateway_control_hosts',
         'Control hosts that answer.',
@@ -142,6 +154,11 @@
     this.failedAttempts.inc({service, end});
   }
 
+  /** Counts an event of the quarantine of prompt parts. */
+  countQuarantineEvent(event: QuarantineEvent): void {
+    this.quarantineEvents.inc({event});
+  }
+
   /** Counts a silent attempt by what followed. */
   countSilentAttempt(service: string, verdict: SilenceVerdict): void {
     this.silentAttempts.inc({service, verdict});
