fix(gateway): bytes that arrive are no silence

A body that arrived steadily for longer than the timeout, or an event in pieces, was taken for a silence: the backend server was avoided and a second one ran the request too. The silence timer covered the whole body, and events only. It now starts anew with each read; when it fires, bytes that arrived while this host itself was busy are read first. The body of a server error is watched too: one that stopped held the request until its deadline.

--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -89,16 +89,24 @@
   /** Reports the backend server as silent unless progress follows in time. */
   protected expectProgress(timeoutMs: number): void {
     this.stopWaiting();
-    const {backend} = this.decision;
-    this.silenceTimer = setTimeout(() => {
-      backend.failures.eject(monotonicMs());
-      this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
+    const timer = setTimeout(() => {
+      // Bytes that arrived while this host was busy are read first.
+      setImmediate(() => {
+        if (this.silenceTimer === timer) this.reportSilence(timeoutMs);
+      });
     }, timeoutMs);
+    this.silenceTimer = timer;
+  }
+
+  private reportSilence(timeoutMs: number): void {
+    this.decision.backend.failures.eject(monotonicMs());
+    this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
   }
 
   /** Ends the watch for progress, as while the client reads slowly. */
   protected stopWaiting(): void {
     clearTimeout(this.silenceTimer);
+    this.silenceTimer = undefined;
   }
 
   /** Forwards a response once its body is complete. */
@@ -107,7 +115,6 @@
     head: ResponseHead,
     writer: ResponseWriter,
   ): Promise<AttemptResult> {
-    this.expectProgress(this.options.responseHeadTimeoutMs);
     const body = await this.readBody(exchange);
     if (!Buffer.isBuffer(body)) return this.handleExchangeError(body);
     const {signal} = this.options;
@@ -124,7 +131,9 @@
   ): Promise<Buffer | ExchangeError> {
     const chunks: Buffer[] = [];
     for (;;) {
+      this.expectProgress(this.options.responseHeadTimeoutMs);
       const result = await exchange.read();
+      this.stopWaiting();
       if (!result.ok) return result.error;
       if (!result.value) return Buffer.concat(chunks);
       chunks.push(result.value);
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -30,7 +30,6 @@
 
   private startForwarding(head: ResponseHead): void {
     const {writer, onProgress} = this.streamOptions;
-    this.stopWaiting();
     onProgress();
     if (!writer.hasSentHead) writer.writeHead(head);
   }
@@ -59,11 +58,12 @@
       };
     }
     const splitter = new EventSplitter();
-    this.expectProgress(
-      progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
-    );
     for (;;) {
+      this.expectProgress(
+        progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
+      );
       const result = await exchange.read();
+      this.stopWaiting();
       if (signal.aborted) return createAbortedResult(signal);
       if (!result.ok) return this.handleExchangeError(result.error);
       if (!result.value) break;
@@ -76,7 +76,6 @@
       progress.lastEventId = splitter.lastEventId ?? progress.lastEventId;
       await writer.write(bytes, signal);
       if (signal.aborted) return createAbortedResult(signal);
-      this.expectProgress(pauseTimeoutMs);
     }
     // A stream is complete if its end falls between events, with or without
     // framing; the exchange itself fails on a reset.
