fix(gateway): an unframed stream that ends before any event is broken

A backend server that closed the connection after an unframed head counted as having sent a complete stream. Resumed, such an answer ended a stream after its first events as if complete, while the silent server that had sent them went on.

The 2 cases of stream_framing.test.ts with close_without_events failed before.

--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -2,6 +2,7 @@
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import {ExchangeError} from '../connection/exchange_error.js';
+import {isFramed} from '../connection/is_framed.js';
 import type {ResponseWriter} from './response_writer.js';
 import {Attempt, type AttemptOptions} from './attempt.js';
 import {AttemptOutcome} from './attempt_outcome.js';
@@ -58,6 +59,7 @@
       };
     }
     const splitter = new EventSplitter();
+    let hasEvents = false;
     for (;;) {
       this.expectProgress(
         progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
@@ -69,6 +71,7 @@
       if (!result.value) break;
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
+      hasEvents = true;
       this.startForwarding(head);
       this.streamOptions.onEvents();
       this.streamOptions.claim.markPrefilled();
@@ -78,8 +81,10 @@
       if (signal.aborted) return createAbortedResult(signal);
     }
     // A stream is complete if its end falls between events, with or without
-    // framing; the exchange itself fails on a reset.
-    if (splitter.takeRemainder().length > 0) {
+    // framing; the exchange itself fails on a reset. Without framing, an end
+    // before any event is that of the connection alone.
+    const hasEnded = hasEvents || isFramed(head);
+    if (!hasEnded || splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
         new ExchangeError(true, 'ended inside an event', false, true),
       );
