--- a/packages/gateway/src/request/placement_claim.ts
+++ b/packages/gateway/src/request/placement_claim.ts
@@ -19,6 +19,7 @@
  */
 export class PlacementClaim {
   private readonly now: () => number;
+  private isReleased = false;
 
   constructor(private readonly options: PlacementClaimOptions) {
     const {notices, workId, decision} = options;
@@ -38,8 +39,13 @@
     }
   }
 
-  /** Removes the work from the ledgers when the attempt has ended. */
+  /**
+   * Removes the work from the ledgers, when the attempt has ended or its
+   * backend server is silent. Further calls have no effect.
+   */
   release(): void {
+    if (this.isReleased) return;
+    this.isReleased = true;
     const {notices, workId, decision} = this.options;
     decision.backend.inFlight--;
     for (const {backend} of decision.work) {
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -306,6 +306,8 @@
       responseHeadTimeoutMs: responseHeadTimeoutMs(this.request, isLastAttempt),
       signal,
       onSilent: reason => {
+        // An engine that is silent does not do the predicted work in time.
+        claim.release();
         this.reporter.reportSilence(reason, attempt);
         this.running.recordSilence(attempt);
       },
