--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -13,11 +13,14 @@
 import type {ClientRequest} from '../src/request/client_request.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestRunner} from '../src/request/request_runner.js';
+import {SharedRetryBudget} from '../src/request/shared_retry_budget.js';
 import {createBackends, createWork} from './create_backend.js';
 import {createRoute} from './create_config.js';
 
 const REQUESTS = 5;
 const TIMEOUT_MS = 60_000;
+const POLL_MS = 20;
+const MAX_POLLS = 250;
 
 /** Creates an exchange with a backend server that does not respond. */
 function createSilentExchange(): Pick<Exchange, 'head' | 'cancel'> {
@@ -88,4 +91,67 @@
     disconnection.abort();
     assert.deepEqual(seen, [0, 1, 2, 3, 4]);
   });
+
+  it('uses up no retry for an attempt that was not sent', async () => {
+    const backends = createBackends(6);
+    const limits = {ratio: 0, windowMs: 10_000, allowance: 2};
+    const retryBudget = new SharedRetryBudget(limits);
+    let reservations = 0;
+    const memory = [{backend: backends[0], tokens: 1}];
+    const components = {
+      retryBudget,
+      backends: {
+        candidates: () => backends,
+        reachability: {isUnreachable: () => false},
+      },
+      placements: {
+        for: () => ({
+          place: ({candidates}: {candidates: typeof backends}) => ({
+            backend: candidates[0],
+            helpers: [],
+            memory,
+            work: [],
+          }),
+        }),
+      },
+      // Only the first attempt gets the memory that it needs.
+      memory: {reserve: async () => (reservations++ === 0 ? [] : undefined)},
+      notices: {tell: () => {}, tellEnd: () => {}},
+      quarantine: {
+        check: () => undefined,
+        watch: () => ({}),
+        end: async () => {},
+      },
+      requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
+      metrics: {
+        observeRequest: () => {},
+        countAttempt: () => {},
+        countFailedAttempt: () => {},
+        countRetry: () => {},
+        countSilentAttempt: () => {},
+      },
+      dialect: {writeRequest: () => [], writeResponse: () => ({})},
+      connections: {poolFor: () => ({send: createSilentExchange})},
+      isDraining: () => false,
+    } as unknown as GatewayComponents;
+    const disconnection = new AbortController();
+    const fields = {isStream: true, isResumable: true, latencyGoalMs: 1};
+    const run = new RequestRunner(components, {
+      req: {rawHeaders: [], method: 'POST', url: '/'},
+      res: {},
+      metadata: {requestId: 'r', promptTokens: 100},
+      route: createRoute(fields),
+      service: {name: 'notes'},
+      body: Buffer.alloc(0),
+      startedMs: monotonicMs(),
+      deadlineMs: monotonicMs() + TIMEOUT_MS,
+      signal: disconnection.signal,
+    } as unknown as ClientRequest).run();
+    for (let poll = 0; poll < MAX_POLLS && reservations < REQUESTS; poll++)
+      await sleep(POLL_MS);
+    await sleep(POLL_MS);
+    disconnection.abort();
+    await run;
+    assert.ok(retryBudget.acquire('notes', monotonicMs()));
+  });
 });
--- a/packages/gateway/__tests__/shared_retry_budget.test.ts
+++ b/packages/gateway/__tests__/shared_retry_budget.test.ts
@@ -27,6 +27,13 @@
     });
   }
 
+  it('allows another retry for one whose attempt was not sent', () => {
+    const budget = new SharedRetryBudget(LIMITS);
+    const acquired = acquireAll(budget, 0);
+    budget.refund('notes', 0);
+    assert.deepEqual([acquireAll(budget, 0), acquired > 0], [1, true]);
+  });
+
   it('limits the retries in any window of its length', () => {
     const budget = new SharedRetryBudget(LIMITS);
     const acquired = [0, 4_000, 8_000, 9_999].map(ms => acquireAll(budget, ms));
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -132,8 +132,10 @@
       }
       const decision = this.place();
       if (decision) {
-        if (!this.acquireRetry()) return 'retry budget is used up';
-        this.launch(decision);
+        const isBudgeted = this.possibleArrivals > 0;
+        if (isBudgeted && !this.acquireRetry())
+          return 'retry budget is used up';
+        this.launch(decision, isBudgeted);
         return undefined;
       }
       const isWaiting = this.running.size === 0 && this.mayWaitForBackend;
@@ -204,19 +206,23 @@
   }
 
   /**
-   * Acquires a retry from the budget if an earlier attempt may have reached a
+   * Acquires a retry from the budget, as an earlier attempt may have reached a
    * backend server. Returns whether the next attempt may begin.
    */
   private acquireRetry(): boolean {
-    if (this.possibleArrivals === 0) return true;
     const {name} = this.request.service;
     const isGranted = this.components.retryBudget.acquire(name, monotonicMs());
     this.components.metrics.countRetry(name, isGranted);
     return isGranted;
   }
 
+  private refundRetry(): void {
+    const {name} = this.request.service;
+    this.components.retryBudget.refund(name, monotonicMs());
+  }
+
   /** Runs an attempt beside those in progress. */
-  private launch(decision: PlacementDecision): void {
+  private launch(decision: PlacementDecision, isBudgeted: boolean): void {
     if (this.running.size > 0) this.reporter.countReplacement();
     this.attempts++;
     this.attemptedBackends.add(decision.backend);
@@ -225,6 +231,7 @@
       number: this.attempts,
       decision,
       controller: new AbortController(),
+      isBudgeted,
       isSilent: false,
       wasSent: false,
     };
@@ -254,6 +261,7 @@
     }
     if (result.outcome === AttemptOutcome.NotSent) attempt.wasSent = false;
     if (attempt.wasSent) this.endedArrivals++;
+    else if (attempt.isBudgeted) this.refundRetry();
     if (result.faultyHelper) {
       this.attemptedBackends.add(result.faultyHelper);
       this.attemptedBackends.delete(decision.backend);
--- a/packages/gateway/src/request/running_attempt.ts
+++ b/packages/gateway/src/request/running_attempt.ts
@@ -7,6 +7,8 @@
   readonly decision: PlacementDecision;
   /** Ends the attempt; the reason is an `AbortReason`. */
   readonly controller: AbortController;
+  /** Whether it drew on the retry budget. */
+  readonly isBudgeted: boolean;
   /** Whether nothing has arrived for longer than the timeout. */
   isSilent: boolean;
   /** When bytes were first forwarded, on the monotonic clock. */
--- a/packages/gateway/src/request/shared_retry_budget.ts
+++ b/packages/gateway/src/request/shared_retry_budget.ts
@@ -42,6 +42,11 @@
     return true;
   }
 
+  /** Returns a retry that was acquired, as its attempt was not sent. */
+  refund(service: string, nowMs: number): void {
+    this.window(service, nowMs).retries.pop();
+  }
+
   private window(service: string, nowMs: number): Window {
     let window = this.windows.get(service);
     if (!window) {
