fix(gateway): a lost renewal does not let a memory reservation expire

An engine ended a sound stream when it had been silent at the moment of one renewal of the stream's KV memory: the next one came 3,600 ms after the last that was confirmed, and the lease is 3,500 ms. An unconfirmed renewal is sent again after 100 ms.

--- a/packages/gateway/src/memory/memory_reservation_manager.ts
+++ b/packages/gateway/src/memory/memory_reservation_manager.ts
@@ -11,6 +11,8 @@
  */
 const LEASE_MS = 3_500;
 const RENEW_INTERVAL_MS = 1_500;
+/** Delay before a renewal that was not confirmed is sent again. */
+const RENEW_RETRY_DELAY_MS = 100;
 const ORDER_TIMEOUT_MS = 600;
 const MAX_RELEASE_ATTEMPTS = 3;
 const OK_STATUS = 200;
@@ -61,16 +63,32 @@
     reservations: readonly MemoryReservation[],
     signal: AbortSignal,
   ): Promise<void> {
+    await Promise.all(
+      reservations.map(reservation => this.renewOne(reservation, signal)),
+    );
+    this.releaseAll(reservations);
+  }
+
+  private async renewOne(
+    reservation: MemoryReservation,
+    signal: AbortSignal,
+  ): Promise<void> {
+    let isConfirmed = true;
     while (!signal.aborted) {
-      await sleep(RENEW_INTERVAL_MS, signal);
-      if (signal.aborted) break;
-      await Promise.all(
-        reservations.map(reservation =>
-          this.sendOrder(reservation, reservation.tokens),
-        ),
+      await sleep(
+        isConfirmed ? RENEW_INTERVAL_MS : RENEW_RETRY_DELAY_MS,
+        signal,
       );
+      if (signal.aborted) return;
+      const wasConfirmed = isConfirmed;
+      isConfirmed = await this.sendOrder(reservation, reservation.tokens);
+      if (isConfirmed || !wasConfirmed) continue;
+      log.warn('An engine did not confirm renewing KV memory; sending again.', {
+        backend: reservation.backend.presence.id,
+        ticket: reservation.reservationId,
+        holdMs: LEASE_MS,
+      });
     }
-    this.releaseAll(reservations);
   }
 
   private releaseAll(reservations: readonly MemoryReservation[]): void {
