fix(gateway): a silence that several requests notice counts once

Each request that noticed a silence ejected the backend server as if it had failed once more, up to 4 s, and a server that went on stayed ejected for the rest.

--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -56,6 +56,7 @@
   protected readonly request: ClientRequest;
   protected readonly decision: PlacementDecision;
   private silenceTimer?: NodeJS.Timeout;
+  private isSilent = false;
 
   constructor(protected readonly options: AttemptOptions) {
     this.components = options.components;
@@ -99,10 +100,19 @@
   }
 
   private reportSilence(timeoutMs: number): void {
-    this.decision.backend.failures.eject(monotonicMs());
+    this.isSilent = true;
+    this.decision.backend.failures.recordSilence(monotonicMs());
     this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
   }
 
+  /** Records bytes of the backend server, which end a silence. */
+  protected recordBytes(): void {
+    this.stopWaiting();
+    if (!this.isSilent) return;
+    this.isSilent = false;
+    this.decision.backend.failures.recordProgress();
+  }
+
   /** Ends the watch for progress, as while the client reads slowly. */
   protected stopWaiting(): void {
     clearTimeout(this.silenceTimer);
@@ -133,8 +143,8 @@
     for (;;) {
       this.expectProgress(this.options.responseHeadTimeoutMs);
       const result = await exchange.read();
-      this.stopWaiting();
       if (!result.ok) return result.error;
+      this.recordBytes();
       if (!result.value) return Buffer.concat(chunks);
       chunks.push(result.value);
     }
@@ -207,8 +217,8 @@
   private async receiveResponse(exchange: Exchange): Promise<AttemptResult> {
     this.expectProgress(this.options.responseHeadTimeoutMs);
     const result = await exchange.head();
-    this.stopWaiting();
     if (!result.ok) return this.handleExchangeError(result.error);
+    this.recordBytes();
     const head = result.value;
     const metadata = this.components.dialect.readResponse(
       head.status,
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -65,9 +65,9 @@
         progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
       );
       const result = await exchange.read();
-      this.stopWaiting();
       if (signal.aborted) return createAbortedResult(signal);
       if (!result.ok) return this.handleExchangeError(result.error);
+      this.recordBytes();
       if (!result.value) break;
       const {bytes, count} = splitter.push(result.value);
       if (count === 0) continue;
