fix(gateway): an exception in one request does not end the process

Clients would have lost every request in flight on a host: neither an answer nor a refusal, as the process ends with the unhandled rejection.

Cause: RequestHandler.handle said that its promise never rejects, but only counted; gateway.ts drops the promise.

In the middle of a response it resets the connection, as a plain close would end a response without framing. The deadline timer and the close listener are released in `finally`.

--- /dev/null
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -0,0 +1,194 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import {createServer, request, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
+import {getLogger, succeed} from '@vanillamux/shared';
+import {RouteTable} from '../src/config/route_table.js';
+import {ResponseVerdict} from '../src/dialect/response_verdict.js';
+import type {GatewayComponents} from '../src/request/gateway_components.js';
+import {RequestHandler} from '../src/request/request_handler.js';
+import {createBackends} from './create_backend.js';
+import {createConfig, createRoute} from './create_config.js';
+
+const BODY = 'the response';
+const HEAD = {status: 200, headers: {'content-length': '12'}, rawHeaders: []};
+
+/** What a client received: a response, or a connection that closed early. */
+interface Received {
+  readonly status: number;
+  readonly body: string;
+  readonly isComplete: boolean;
+}
+
+interface Case {
+  readonly component: string;
+  readonly isStream?: boolean;
+  readonly overrides: object;
+  readonly received: Received;
+}
+
+function fault(): never {
+  throw new Error('a defect');
+}
+
+const INTERNAL_ERROR: Received = {
+  status: 500,
+  body: '{"error":"internal error"}\n',
+  isComplete: true,
+};
+const RESET: Received = {status: 200, body: '', isComplete: false};
+const COMPLETE: Received = {status: 200, body: BODY, isComplete: true};
+
+const CASES: readonly Case[] = [
+  {
+    component: 'the dialect, before anything was sent',
+    overrides: {dialect: {readRequest: fault}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the dialect, for the error response, too',
+    overrides: {dialect: {readRequest: fault, writeResponse: fault}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the configuration store, before anything was sent',
+    overrides: {configStore: {waitForFirst: fault}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the recorder, before anything was sent',
+    overrides: {requestRecorder: {hasCapacity: true, recordAdmission: fault}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the placement, before anything was sent',
+    overrides: {placements: {for: () => ({place: fault})}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the connections, before anything was sent',
+    overrides: {connections: {poolFor: fault}},
+    received: INTERNAL_ERROR,
+  },
+  {
+    component: 'the exchange, after the head was sent',
+    isStream: true,
+    overrides: {connections: createConnections(fault)},
+    received: RESET,
+  },
+  {
+    component: 'the metrics, after the response was sent',
+    overrides: {
+      metrics: {countAttempt: () => undefined, observeRequest: fault},
+    },
+    received: COMPLETE,
+  },
+];
+
+/** Connections to a backend server that sends a head and then `read()`. */
+function createConnections(read: () => unknown): object {
+  const head = async (): Promise<unknown> => succeed(HEAD);
+  const send = (): object => ({head, read, cancel: () => undefined});
+  return {poolFor: () => ({send})};
+}
+
+function createComponents(
+  isStream: boolean,
+  overrides: object,
+): GatewayComponents {
+  const [backend] = createBackends(1);
+  const config = createConfig({routes: [createRoute({isStream})]});
+  const chunks = [Buffer.from(BODY)];
+  const components = {
+    dialect: {
+      readRequest: () => ({requestId: 'r', promptTokens: 1}),
+      writeRequest: () => [],
+      readResponse: () => ({verdict: ResponseVerdict.Valid}),
+      writeResponse: () => ({}),
+    },
+    configStore: {waitForFirst: async () => new RouteTable(config)},
+    backends: {
+      candidates: () => [backend],
+      reachability: {
+        isUnreachable: () => false,
+        recordResponse: () => undefined,
+      },
+    },
+    connections: createConnections(async () => succeed(chunks.shift())),
+    placements: {
+      for: () => ({
+        place: () => ({backend, helpers: [], memory: [], work: []}),
+      }),
+    },
+    retryBudget: {countRequest: () => undefined, acquire: () => true},
+    notices: {tell: () => undefined, tellEnd: () => undefined},
+    requestRecorder: {
+      hasCapacity: true,
+      recordAdmission: () => undefined,
+      recordOutcome: () => undefined,
+    },
+    metrics: {
+      observeRequest: () => undefined,
+      countAttempt: () => undefined,
+    },
+    isDraining: () => false,
+  };
+  return {...components, ...overrides} as unknown as GatewayComponents;
+}
+
+/** Sends a request; resolves when its connection has nothing more to give. */
+function sendRequest(server: Server): Promise<Received> {
+  const {port} = server.address() as AddressInfo;
+  return new Promise(resolve => {
+    const headers = {host: 'main.example'};
+    const req = request({port, headers, agent: false, method: 'POST'}, res => {
+      let body = '';
+      res.on('data', (bytes: Buffer) => (body += bytes.toString()));
+      res.on('error', () => undefined);
+      res.on('close', () =>
+        resolve({status: res.statusCode!, body, isComplete: res.complete}),
+      );
+    });
+    req.on('error', () => resolve({status: 0, body: '', isComplete: false}));
+    req.end('body');
+  });
+}
+
+describe('RequestHandler', () => {
+  let server: Server;
+
+  beforeEach(async () => {
+    server = createServer().listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  });
+
+  afterEach(() => {
+    mock.restoreAll();
+    server.close();
+    server.closeAllConnections();
+  });
+
+  for (const {component, isStream = false, overrides, received} of CASES) {
+    it(`survives an exception in ${component}`, async () => {
+      const logError = mock.method(getLogger('http'), 'error', () => undefined);
+      const handler = new RequestHandler(createComponents(isStream, overrides));
+      let listenersLeft: number | undefined;
+      let handled: Promise<void> | undefined;
+      server.on('request', (req, res) => {
+        const before = res.listenerCount('close');
+        handled = handler.handle(req, res).then(() => {
+          listenersLeft = res.listenerCount('close') - before;
+        });
+        handled.catch(() => res.destroy());
+      });
+      assert.deepEqual(await sendRequest(server), received);
+      await handled;
+      assert.equal(handler.inFlight, 0);
+      assert.equal(listenersLeft, 0);
+      assert.equal(logError.mock.callCount(), 1);
+      const fields = logError.mock.calls[0]!.arguments[1] as object;
+      assert.match(JSON.stringify(fields), /a defect/);
+    });
+  }
+});
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -23,6 +23,8 @@
  */
 const CONFIG_WAIT_MS = 3_000;
 
+const STATUS_INTERNAL_ERROR = 500;
+
 const log = getLogger('request');
 
 /** Matches, authenticates and reads a request, and then runs it. */
@@ -41,6 +43,8 @@
     this.inFlightCount++;
     try {
       await this.processRequest(req, res);
+    } catch (error) {
+      this.handleException(req, res, error);
     } finally {
       this.inFlightCount--;
     }
@@ -119,9 +123,45 @@
       () => controller.abort(AbortReason.DeadlineExceeded),
       Math.max(0, deadlineMs - monotonicMs()),
     );
-    await new RequestRunner(this.components, request).run();
-    clearTimeout(timer);
-    res.off('close', onClose);
+    try {
+      await new RequestRunner(this.components, request).run();
+    } finally {
+      clearTimeout(timer);
+      res.off('close', onClose);
+    }
+  }
+
+  /**
+   * Responds with status 500 if nothing was sent, and resets the connection in
+   * the middle of a response: a plain close would end one without framing.
+   */
+  private handleException(
+    req: IncomingMessage,
+    res: ServerResponse,
+    error: unknown,
+  ): void {
+    getLogger('http').error('Unhandled error while serving a request.', {
+      reason: String(error),
+      stack: error instanceof Error ? error.stack : undefined,
+    });
+    if (res.writableEnded) return;
+    if (res.headersSent) {
+      req.socket.resetAndDestroy();
+      return;
+    }
+    const status = STATUS_INTERNAL_ERROR;
+    const headers = this.createErrorHeaders(req);
+    sendErrorResponse(res, {status, reason: 'internal error', headers});
+  }
+
+  /** Returns no headers if the dialect is what failed. */
+  private createErrorHeaders(req: IncomingMessage): ErrorResponse['headers'] {
+    const {dialect} = this.components;
+    try {
+      return dialect.writeResponse(dialect.readRequest(req.headers).requestId);
+    } catch {
+      return {};
+    }
   }
 
   private refuse(
