fix(gateway): a short prompt with a huge output limit gets a placement

Clients with a short prompt whose maximum of output tokens exceeds one engine's KV memory would have ended the process, and so every request in flight on the host, and the next host with their retry.

Cause: such a context reserves memory on several engines. findBestPlan skipped every count below theirs, and counts over 1 as the prefill is too short to split, so that it returned `best!` without a plan. Evidence: the three new cases failed with "Cannot destructure property 'prefillShareMs'".

The engines that reserve memory now always form the first plan; larger counts are compared only where the prefill is long enough.

--- a/packages/gateway/__tests__/engine_placement_policy.test.ts
+++ b/packages/gateway/__tests__/engine_placement_policy.test.ts
@@ -139,6 +139,19 @@
     });
   }
 
+  for (const {promptTokens, answerTokens, engines} of [
+    {promptTokens: 0, answerTokens: 300_000, engines: 2},
+    {promptTokens: 1_000, answerTokens: 400_000, engines: 3},
+    {promptTokens: 1_000, answerTokens: 1_300_000, engines: 7},
+  ]) {
+    it(`places a prompt of ${promptTokens} tokens whose output needs the memory of ${engines} engines`, () => {
+      const backends = createBackends(8);
+      const decision = place(backends, {promptTokens, answerTokens})!;
+      assert.equal(decision.memory.length, engines);
+      assert.equal(decision.helpers.length, engines - 1);
+    });
+  }
+
   it('places no context that exceeds the memory of all engines', () => {
     assert.equal(place(createBackends(2), {promptTokens: 900_000}), undefined);
   });
--- a/packages/gateway/src/placement/engine_placement_policy.ts
+++ b/packages/gateway/src/placement/engine_placement_policy.ts
@@ -118,22 +118,18 @@
   ): PrefillPlan {
     const totalPrefillMs = prefillMs(spec, request.metadata.promptTokens);
     const reserved = shares.map(({backend}) => backend);
-    let best: PrefillPlan | undefined;
-    // The engines that reserve memory can form a plan by themselves.
-    const counts = new Set([...ENGINE_COUNTS, Math.max(1, reserved.length)]);
-    for (const count of counts) {
-      if (count > costModels.length || count < reserved.length) continue;
-      if (count > 1 && totalPrefillMs < MIN_SPLIT_PREFILL_MS) continue;
-      const plan = this.createPlan(
-        request,
-        costModels,
-        reserved,
-        totalPrefillMs,
-        count,
-      );
-      if (!best || plan.predictedLoss < best.predictedLoss) best = plan;
+    const planFor = (count: number): PrefillPlan =>
+      this.createPlan(request, costModels, reserved, totalPrefillMs, count);
+    // The engines that reserve memory form a plan, however short the prompt is.
+    const minCount = Math.max(1, reserved.length);
+    let best = planFor(minCount);
+    if (totalPrefillMs < MIN_SPLIT_PREFILL_MS) return best;
+    for (const count of ENGINE_COUNTS) {
+      if (count <= minCount || count > costModels.length) continue;
+      const plan = planFor(count);
+      if (plan.predictedLoss < best.predictedLoss) best = plan;
     }
-    return best!;
+    return best;
   }
 
   private createPlan(
