fix(gateway): an announced address that is no URL fails the attempt only

Clients would have lost every request in flight on each host that placed one on such a backend server, and again after each restart: the process ended.

Cause: the constructor of undici's client throws for an address that makes no URL (an IPv6 address without brackets, a space, a slash, 256.0.0.1), which a heartbeat may announce, as its schema asks for a text only. ConnectionPool.send threw in the request, and in the renewal of a KV reservation, whose promise nobody waits for.

The exchange now fails before anything is sent, so that the attempt counts as not sent and the next candidate is asked.

--- a/packages/gateway/__tests__/connection_pool.test.ts
+++ b/packages/gateway/__tests__/connection_pool.test.ts
@@ -14,6 +14,9 @@
   {useNewConnection: false, connections: 1},
 ];
 
+/** Hosts that an announcement may contain and that no URL can. */
+const INVALID_HOSTS = ['::1', 'a b', 'a/b', '256.0.0.1'];
+
 describe('ConnectionPool', () => {
   let server: Server;
   let connections = 0;
@@ -46,6 +49,16 @@
       assert.equal(connections, expected);
     });
   }
+
+  for (const host of INVALID_HOSTS) {
+    it(`does not throw for a backend server at the host "${host}"`, async () => {
+      const pool = new ConnectionPool({host, port: 80});
+      const request = {method: 'GET' as const, path: '/', headers: []};
+      const head = await pool.send(request).head();
+      assert.ok(!head.ok);
+      assert.equal(head.error.mayHaveBeenSent, false);
+    });
+  }
 });
 
 type Reader = ReturnType<ConnectionPool['send']>;
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -1,4 +1,11 @@
-import type {Address} from '@vanillamux/shared';
+import {
+  ErrorCodes,
+  fail,
+  succeed,
+  VmuxError,
+  type Address,
+  type Result,
+} from '@vanillamux/shared';
 import {Connection} from './connection.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeRequest} from './exchange_request.js';
@@ -23,11 +30,14 @@
    * Sends a request. An idle connection may have been reset or cut off in the
    * meantime, which shows only after the request has been sent. With
    * `useNewConnection`, a failure to connect shows before that; the new
-   * connection is closed after the exchange.
+   * connection is closed after the exchange. An address that is not valid fails
+   * the exchange.
    */
   send(request: ExchangeRequest, useNewConnection = false): Exchange {
-    const connection =
-      (useNewConnection ? undefined : this.idle.pop()) ?? this.open();
+    const idle = useNewConnection ? undefined : this.idle.pop();
+    const opened = idle ? succeed(idle) : this.open();
+    if (!opened.ok) return createFailedExchange(opened.error.message);
+    const connection = opened.value;
     const exchange = new Exchange(connection, () =>
       useNewConnection ? connection.close() : this.release(connection),
     );
@@ -49,11 +59,17 @@
     for (const connection of this.idle.splice(0)) connection.close();
   }
 
-  private open(): Connection {
-    return new Connection(this.origin, connection => {
+  private open(): Result<Connection> {
+    const onClosed = (connection: Connection): void => {
       const index = this.idle.indexOf(connection);
       if (index >= 0) this.idle.splice(index, 1);
-    });
+    };
+    try {
+      return succeed(new Connection(this.origin, onClosed));
+    } catch (cause) {
+      const message = `${this.origin} is not a valid address`;
+      return fail(new VmuxError(ErrorCodes.TransportFailed, {message, cause}));
+    }
   }
 
   private release(connection: Connection): void {
@@ -63,3 +79,10 @@
     else connection.close();
   }
 }
+
+/** Creates an exchange that has failed before anything was sent. */
+function createFailedExchange(reason: string): Exchange {
+  const exchange = new Exchange({hasFailed: true}, () => undefined);
+  exchange.cancel(reason);
+  return exchange;
+}
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -25,7 +25,7 @@
 
   /** `onReusable` is called once the connection can carry another request. */
   constructor(
-    private readonly connection: Connection,
+    private readonly connection: Pick<Connection, 'hasFailed'>,
     private readonly onReusable: () => void,
   ) {}
 
