fix(gateway): work that ends after the stop does not throw

Clients whose requests outlived the grace time saw no difference, but the process ended with an unhandled rejection and exit code 1 rather than 0, without its last log lines.

Cause: Gateway.stop closes the notice socket at the end of the grace time, while requests may still be in flight; releasing their work sends a notice, which throws on a closed socket. Evidence: the new case failed with "Not running".

Notices are hints, so that they are dropped once the socket is closed.

--- a/packages/gateway/__tests__/peer_notices.test.ts
+++ b/packages/gateway/__tests__/peer_notices.test.ts
@@ -59,4 +59,12 @@
     sender!.notices.tellEnd('r/1', [{backend, item}]);
     await waitUntil(() => !isKnown());
   });
+
+  it('does not throw for work that ends after the socket was closed', async () => {
+    const [sender] = await createPeers(['a', 'b']);
+    peers.shift();
+    const backend = sender!.backends.get('engine')!;
+    sender!.notices.close();
+    sender!.notices.tellEnd('r/1', [{backend, item: createWork({})}]);
+  });
 });
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -34,6 +34,7 @@
 export class PeerNotices {
   private readonly socket: Socket = createSocket('udp4');
   private peers: readonly EntryPeer[] = [];
+  private isClosed = false;
 
   constructor(private readonly options: PeerNoticesOptions) {
     this.socket.on('message', bytes => this.receive(bytes));
@@ -98,8 +99,9 @@
     });
   }
 
-  /** Closes the socket. */
+  /** Closes the socket; later notices are dropped. */
   close(): void {
+    this.isClosed = true;
     this.socket.close();
   }
 
@@ -144,6 +146,7 @@
   }
 
   private send(notice: PlacementNotice, receivers: readonly Receiver[]): void {
+    if (this.isClosed) return;
     for (const {peer, relay} of receivers) {
       const {host, port} = peer.address;
       const bytes = Buffer.from(JSON.stringify({...notice, relay}));
