fix(gateway): a request is in flight until its response was handed over

Clients that read slowly, or whose response is larger than the socket buffers, got a truncated answer when their host stopped.

Cause: Gateway.stop waits until no request is in flight, and then the process exits. A request counted as ended with `end()`, which only queues what the client has not taken yet; the exit drops the queue.

A request now ends with its response's 'close', which follows 'finish' or the end of the connection.

--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -1,9 +1,9 @@
 import assert from 'node:assert/strict';
 import {once} from 'node:events';
 import {createServer, request, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
-import {getLogger, succeed} from '@vanillamux/shared';
+import {getLogger, monotonicMs, sleep, succeed} from '@vanillamux/shared';
 import {RouteTable} from '../src/config/route_table.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
@@ -14,6 +14,11 @@
 const BODY = 'the response';
 const HEAD = {status: 200, headers: {'content-length': '12'}, rawHeaders: []};
 
+/** Larger than the buffers of both sockets of a connection. */
+const LARGE_BODY = Buffer.alloc(32 * 1_024 * 1_024);
+const POLL_MS = 5;
+const WAIT_LIMIT_MS = 5_000;
+
 /** What a client received: a response, or a connection that closed early. */
 interface Received {
   readonly status: number;
@@ -155,6 +160,28 @@
   });
 }
 
+/** Sends a request and reads no byte of the response. */
+async function connectWithoutReading(server: Server): Promise<Socket> {
+  const {port} = server.address() as AddressInfo;
+  const socket = connect({port, host: '127.0.0.1'});
+  socket.write('GET / HTTP/1.1\r\nHost: main.example\r\n\r\n');
+  await once(socket, 'readable');
+  return socket;
+}
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  const endMs = monotonicMs() + WAIT_LIMIT_MS;
+  while (!check()) {
+    assert.ok(monotonicMs() < endMs, 'the condition was not met in time');
+    await sleep(POLL_MS);
+  }
+}
+
+const CLIENT_ACTIONS = [
+  {action: 'reads it', act: (socket: Socket) => socket.resume()},
+  {action: 'has left', act: (socket: Socket) => socket.destroy()},
+];
+
 describe('RequestHandler', () => {
   let server: Server;
 
@@ -191,4 +218,28 @@
       assert.match(JSON.stringify(fields), /a defect/);
     });
   }
+
+  for (const {action, act} of CLIENT_ACTIONS) {
+    it(`counts a request whose response waits until the client ${action}`, async () => {
+      const chunks = [LARGE_BODY];
+      const connections = createConnections(async () =>
+        succeed(chunks.shift()),
+      );
+      const handler = new RequestHandler(
+        createComponents(false, {connections}),
+      );
+      const ended = new Promise<void>(resolve => {
+        server.on('request', (req, res) => {
+          res.on('prefinish', () => setImmediate(resolve));
+          void handler.handle(req, res);
+        });
+      });
+      const socket = await connectWithoutReading(server);
+      await ended;
+      assert.equal(handler.inFlight, 1);
+      act(socket);
+      await waitUntil(() => handler.inFlight === 0);
+      socket.destroy();
+    });
+  }
 });
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -8,6 +8,7 @@
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {RequestRunner} from './request_runner.js';
+import {responseClosed} from './response_closed.js';
 import {sendErrorResponse, type ErrorResponse} from './send_error_response.js';
 
 /** Retry-After of a host that has started and has no configuration yet. */
@@ -33,7 +34,7 @@
 
   constructor(private readonly components: GatewayComponents) {}
 
-  /** Number of requests that have not ended. */
+  /** Number of requests whose response was not handed over to the system. */
   get inFlight(): number {
     return this.inFlightCount;
   }
@@ -45,9 +46,9 @@
       await this.processRequest(req, res);
     } catch (error) {
       this.handleException(req, res, error);
-    } finally {
-      this.inFlightCount--;
     }
+    await responseClosed(res);
+    this.inFlightCount--;
   }
 
   private async processRequest(
