fix(gateway): draining closes no connection with a response under way

Clients got a truncated answer from a host that stopped, if a part of it was still queued: a body larger than the socket buffers, or a slow reader.

Cause: Gateway.stop calls close() and, every 50 ms, closeIdleConnections() of Node's server, which takes a connection for idle once `end()` was called and destroys it with the bytes in its queue.

ClientServer calls a connection idle only after its responses were handed over and no byte of another request was read since.

--- /dev/null
+++ b/packages/gateway/__tests__/client_server.test.ts
@@ -0,0 +1,94 @@
+import assert from 'node:assert/strict';
+import {once} from 'node:events';
+import type {ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, beforeEach, describe, it} from 'node:test';
+import {ClientServer} from '../src/server/client_server.js';
+
+/** Larger than the buffers of both sockets of a connection. */
+const LARGE_BODY = Buffer.alloc(32 * 1_024 * 1_024);
+const REQUEST = 'GET / HTTP/1.1\r\nHost: main.example\r\n\r\n';
+
+/** Reads until the connection ends; returns how many bytes there were. */
+async function readToEnd(socket: Socket): Promise<number> {
+  let length = 0;
+  socket.on('data', (bytes: Buffer) => (length += bytes.length));
+  await once(socket, 'close');
+  return length;
+}
+
+describe('ClientServer', () => {
+  let server: ClientServer;
+  let responses: ServerResponse[];
+
+  beforeEach(async () => {
+    responses = [];
+    server = new ClientServer({}, (req, res) => responses.push(res));
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  async function open(text: string, requests: number): Promise<Socket> {
+    const {port} = server.address() as AddressInfo;
+    const socket = connect({port, host: '127.0.0.1'});
+    socket.write(text);
+    while (responses.length < requests) await once(server, 'request');
+    return socket;
+  }
+
+  for (const {name, close} of [
+    {name: 'close', close: () => server.close()},
+    {name: 'closeIdleConnections', close: () => server.closeIdleConnections()},
+  ]) {
+    it(`${name} spares a response that the client has not read yet`, async () => {
+      const socket = await open(REQUEST, 1);
+      responses[0]!.shouldKeepAlive = false;
+      responses[0]!.end(LARGE_BODY);
+      await once(socket, 'readable');
+      close();
+      const length = await readToEnd(socket);
+      assert.ok(length > LARGE_BODY.length, `${length} bytes were received`);
+    });
+
+    it(`${name} closes a connection whose responses were handed over`, async () => {
+      const socket = await open(REQUEST + REQUEST, 2);
+      for (const res of responses) res.end('ok');
+      await once(responses[1]!, 'close');
+      close();
+      assert.ok((await readToEnd(socket)) > 0);
+    });
+
+    it(`${name} spares a connection with another request in progress`, async () => {
+      const socket = await open(REQUEST + REQUEST, 2);
+      responses[0]!.end('first');
+      await once(responses[0]!, 'close');
+      close();
+      responses[1]!.shouldKeepAlive = false;
+      responses[1]!.end(LARGE_BODY);
+      const length = await readToEnd(socket);
+      assert.ok(length > LARGE_BODY.length, `${length} bytes were received`);
+    });
+
+    it(`${name} spares a connection on which a request arrives`, async () => {
+      const socket = await open(REQUEST, 1);
+      responses[0]!.end('first');
+      await once(responses[0]!, 'close');
+      const {bytesRead} = responses[0]!.req.socket;
+      socket.write(REQUEST.slice(0, -2));
+      while (responses[0]!.req.socket.bytesRead === bytesRead)
+        await new Promise(resolve => setImmediate(resolve));
+      close();
+      socket.write(REQUEST.slice(-2));
+      while (responses.length < 2) await once(server, 'request');
+      responses[1]!.shouldKeepAlive = false;
+      responses[1]!.end(LARGE_BODY);
+      const length = await readToEnd(socket);
+      assert.ok(length > LARGE_BODY.length, `${length} bytes were received`);
+    });
+  }
+});
--- /dev/null
+++ b/packages/gateway/src/server/client_server.ts
@@ -0,0 +1,53 @@
+import {
+  Server,
+  type RequestListener,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
+import type {Socket} from 'node:net';
+
+interface ConnectionState {
+  /** Responses that were not handed over to the system yet. */
+  pendingResponses: number;
+  /** Bytes that had been read when the last response was handed over. */
+  bytesRead: number;
+}
+
+/**
+ * HTTP server that closes a connection as idle only after its responses were
+ * handed over to the system. Node's own server takes a connection for idle once
+ * `end()` was called, and drops what a slow client has not taken yet.
+ */
+export class ClientServer extends Server {
+  private readonly states = new Map<Socket, ConnectionState>();
+
+  constructor(options: ServerOptions, listener: RequestListener) {
+    super(options, listener);
+    this.on('request', (req, res) => this.track(req.socket, res));
+  }
+
+  /** Also called by `close()`. */
+  override closeIdleConnections(): void {
+    for (const [socket, {pendingResponses, bytesRead}] of this.states) {
+      // Bytes that were read since then belong to another request.
+      const isIdle = pendingResponses === 0 && socket.bytesRead === bytesRead;
+      if (isIdle) socket.destroy();
+    }
+  }
+
+  private track(socket: Socket, res: ServerResponse): void {
+    const state = this.states.get(socket) ?? this.add(socket);
+    state.pendingResponses++;
+    res.once('close', () => {
+      state.pendingResponses--;
+      state.bytesRead = socket.bytesRead;
+    });
+  }
+
+  private add(socket: Socket): ConnectionState {
+    const state = {pendingResponses: 0, bytesRead: 0};
+    this.states.set(socket, state);
+    socket.once('close', () => this.states.delete(socket));
+    return state;
+  }
+}
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,4 +1,4 @@
-import {createServer, type Server} from 'node:http';
+import type {Server} from 'node:http';
 import {Recorder} from '@vanillamux/control';
 import type {
   EntryPeer,
@@ -29,6 +29,7 @@
 import {RequestHandler} from '../request/request_handler.js';
 import {RequestRecorder} from '../request/request_recorder.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
+import {ClientServer} from './client_server.js';
 import {createProbeServer} from './create_probe_server.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 import {GatewayMetrics} from './gateway_metrics.js';
@@ -235,7 +236,7 @@
   }
 
   private createClientServer(): Server {
-    return createServer(
+    return new ClientServer(
       {
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS,
         headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
