fix(control): the record's last entries are not held back on close

Nobody saw it in a response: the record of a host that stopped could end before its last entries, and every stop took a quarter of a second longer.

Cause: Recorder.close waits at most 400 ms on an entry host, and its last entry first waited 250 ms for others of its batch. Evidence: the new case, in which a batch is collected for longer than the close waits, failed.

Closing ends the collection of batches.

--- a/packages/control/__tests__/recorder.test.ts
+++ b/packages/control/__tests__/recorder.test.ts
@@ -62,4 +62,24 @@
     const {Opened, Admitted} = RecordKind;
     assert.deepEqual(kinds, [Opened, Admitted, Admitted]);
   });
+
+  it('delivers the last entries on close without collecting a batch', async () => {
+    const sink = new ToggleableSink();
+    sink.isAvailable = true;
+    const recorder = new Recorder({
+      entryHostId: 'entry',
+      failureDomain: 'fd-a',
+      clock: new HybridClock(),
+      sink,
+      batchDelayMs: 10 * TIMEOUT_MS,
+    });
+    const stopping = new AbortController();
+    void recorder.run(stopping.signal);
+    do await sleep(POLL_MS);
+    while (recorder.undelivered.length > 0);
+    await recorder.close(TIMEOUT_MS);
+    stopping.abort();
+    const kinds = sink.appended.map(({kind}) => kind);
+    assert.deepEqual(kinds, [RecordKind.Opened, RecordKind.Closed]);
+  });
 });
--- a/packages/control/src/recorder.ts
+++ b/packages/control/src/recorder.ts
@@ -63,6 +63,8 @@
   private readonly deliveries = new Map<string, HostDelivery>();
   private readonly batchDelayMs: number;
   private readonly maxEntries: number;
+  /** Aborts when entries are no longer collected for a batch. */
+  private readonly collecting = new AbortController();
 
   constructor(private readonly options: RecorderOptions) {
     this.chainId = `${options.entryHostId}/${Date.now()}`;
@@ -108,6 +110,7 @@
 
   /** Runs one delivery task for each known control host. */
   async run(signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.collecting.abort());
     while (!signal.aborted) {
       for (const host of this.options.sink.hosts()) {
         if (!this.deliveries.has(host)) void this.deliverToHost(host, signal);
@@ -118,6 +121,7 @@
 
   /** Closes the chain and waits for its delivery, at most `timeoutMs`. */
   async close(timeoutMs: number): Promise<void> {
+    this.collecting.abort();
     this.add({kind: RecordKind.Closed});
     const deadlineMs = monotonicMs() + timeoutMs;
     while (this.undelivered.length > 0 && monotonicMs() < deadlineMs) {
@@ -146,7 +150,7 @@
       const batch = this.nextBatch(host);
       if (batch.length === 0) {
         await delivery.wakeup.wait(IDLE_POLL_MS, signal);
-        await sleep(this.batchDelayMs, signal);
+        await sleep(this.batchDelayMs, this.collecting.signal);
         continue;
       }
       delivery.isFailing = !(await this.sendBatch(host, batch));
