fix(shared): a busy process does not overstay while it flushes its log

Nobody saw it in a response: a process whose log reader is slow could still be there at the end of its grace time, and was killed.

Cause: flushOutput counted its polls as 10 ms each, however late they ran, so that its 100 ms became ten times the delay of a poll.

The timeout is now taken from the monotonic clock.

--- a/packages/shared/src/flush_output.ts
+++ b/packages/shared/src/flush_output.ts
@@ -1,4 +1,5 @@
 import process from 'node:process';
+import {monotonicMs} from './monotonic_ms.js';
 import {sleep} from './sleep.js';
 
 const POLL_INTERVAL_MS = 10;
@@ -9,8 +10,8 @@
  * the output that is still buffered.
  */
 export async function flushOutput(timeoutMs: number): Promise<void> {
-  for (let waitedMs = 0; waitedMs < timeoutMs; waitedMs += POLL_INTERVAL_MS) {
-    if (process.stdout.writableLength === 0) return;
+  const deadlineMs = monotonicMs() + timeoutMs;
+  while (process.stdout.writableLength > 0 && monotonicMs() < deadlineMs) {
     await sleep(POLL_INTERVAL_MS);
   }
 }
