fix(gateway): a stop answers or resets what it cuts at the end of its grace

Clients whose requests were still in flight when the grace time of their host was over got neither an answer nor a refusal, and a stream without framing looked complete, as the exit of the process closes its connection plainly.

Cause: Gateway.stop left such requests as they were until the process exited.

The gateway now resets responses that have begun, ends the other requests as if their deadlines had passed, which sends 503 or 504, and closes the record within what is left of the grace time.

--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -31,6 +31,7 @@
 /** Matches, authenticates and reads a request, and then runs it. */
 export class RequestHandler {
   private inFlightCount = 0;
+  private readonly runningRequests = new Set<AbortController>();
 
   constructor(private readonly components: GatewayComponents) {}
 
@@ -51,6 +52,15 @@
     this.inFlightCount--;
   }
 
+  /**
+   * Ends the requests in flight as if their deadlines had passed: those without
+   * a response get an error response.
+   */
+  endRequests(): void {
+    for (const controller of this.runningRequests)
+      controller.abort(AbortReason.DeadlineExceeded);
+  }
+
   private async processRequest(
     req: IncomingMessage,
     res: ServerResponse,
@@ -124,9 +134,11 @@
       () => controller.abort(AbortReason.DeadlineExceeded),
       Math.max(0, deadlineMs - monotonicMs()),
     );
+    this.runningRequests.add(controller);
     try {
       await new RequestRunner(this.components, request).run();
     } finally {
+      this.runningRequests.delete(controller);
       clearTimeout(timer);
       res.off('close', onClose);
     }
--- a/packages/gateway/src/server/client_server.ts
+++ b/packages/gateway/src/server/client_server.ts
@@ -8,7 +8,7 @@
 
 interface ConnectionState {
   /** Responses that were not handed over to the system yet. */
-  pendingResponses: number;
+  readonly pendingResponses: Set<ServerResponse>;
   /** Bytes that had been read when the last response was handed over. */
   bytesRead: number;
 }
@@ -30,22 +30,36 @@
   override closeIdleConnections(): void {
     for (const [socket, {pendingResponses, bytesRead}] of this.states) {
       // Bytes that were read since then belong to another request.
-      const isIdle = pendingResponses === 0 && socket.bytesRead === bytesRead;
+      const isIdle =
+        pendingResponses.size === 0 && socket.bytesRead === bytesRead;
       if (isIdle) socket.destroy();
     }
   }
 
+  /**
+   * Resets the connections with a pending response that `isAffected`. A plain
+   * close would end a response without framing as if it were complete.
+   */
+  resetConnections(isAffected: (res: ServerResponse) => boolean): void {
+    for (const [socket, {pendingResponses}] of this.states) {
+      if ([...pendingResponses].some(isAffected)) socket.resetAndDestroy();
+    }
+  }
+
   private track(socket: Socket, res: ServerResponse): void {
     const state = this.states.get(socket) ?? this.add(socket);
-    state.pendingResponses++;
+    state.pendingResponses.add(res);
     res.once('close', () => {
-      state.pendingResponses--;
+      state.pendingResponses.delete(res);
       state.bytesRead = socket.bytesRead;
     });
   }
 
   private add(socket: Socket): ConnectionState {
-    const state = {pendingResponses: 0, bytesRead: 0};
+    const state: ConnectionState = {
+      pendingResponses: new Set(),
+      bytesRead: 0,
+    };
     this.states.set(socket, state);
     socket.once('close', () => this.states.delete(socket));
     return state;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -40,6 +40,10 @@
 /** Time before the kill by which the process has to have exited. */
 const EXIT_MARGIN_MS = 600;
 const DRAIN_CHECK_INTERVAL_MS = 50;
+/** Time in which clients receive the error responses of cut requests. */
+const CUT_TIMEOUT_MS = 100;
+/** Time before the kill that is left to flush the log and to exit. */
+const FLUSH_MARGIN_MS = 300;
 /** Delay that collects entries of the record, to reduce the disk syncs. */
 const RECORD_BATCH_DELAY_MS = 250;
 /**
@@ -84,7 +88,7 @@
   private readonly stopping = new AbortController();
   private readonly notices: PeerNotices;
   private readonly roster = new PeerRoster();
-  private readonly clientServer: Server;
+  private readonly clientServer: ClientServer;
   private readonly probeServers: Server[] = [];
   private readonly metrics = new GatewayMetrics();
 
@@ -145,18 +149,16 @@
   async stop(): Promise<void> {
     const {drainNoticeMs, graceS} = this.options.settings;
     const graceMs = graceS * MS_PER_SECOND;
-    const endMs = monotonicMs() + graceMs - EXIT_MARGIN_MS;
+    const killMs = monotonicMs() + graceMs;
     this.readiness.startDraining();
     log.info('Draining.', {inFlight: this.handler.inFlight});
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.clientServer.close();
-    this.clientServer.closeIdleConnections();
-    while (this.handler.inFlight > 0 && monotonicMs() < endMs) {
-      await sleep(DRAIN_CHECK_INTERVAL_MS);
-      this.clientServer.closeIdleConnections();
-    }
+    await this.drainUntil(killMs - EXIT_MARGIN_MS);
     log.info('Stopped.', {inFlight: this.handler.inFlight});
-    await this.recorder.close(RECORD_FLUSH_TIMEOUT_MS);
+    await this.cutRequests();
+    const flushMs = killMs - FLUSH_MARGIN_MS - monotonicMs();
+    await this.recorder.close(Math.min(RECORD_FLUSH_TIMEOUT_MS, flushMs));
     this.stopping.abort();
     this.links.stop();
     this.notices.close();
@@ -199,6 +201,28 @@
     this.retryBudget.setHostCount(peers.length);
   }
 
+  /** Waits until no request is in flight, at most until `endMs`. */
+  private async drainUntil(endMs: number): Promise<void> {
+    this.clientServer.closeIdleConnections();
+    while (this.handler.inFlight > 0 && monotonicMs() < endMs) {
+      await sleep(DRAIN_CHECK_INTERVAL_MS);
+      this.clientServer.closeIdleConnections();
+    }
+  }
+
+  /**
+   * Ends the requests still in flight: resets responses that have begun, and
+   * sends an error response to the others.
+   */
+  private async cutRequests(): Promise<void> {
+    this.clientServer.resetConnections(
+      res => res.headersSent && !res.writableEnded,
+    );
+    this.handler.endRequests();
+    await this.drainUntil(monotonicMs() + CUT_TIMEOUT_MS);
+    this.clientServer.resetConnections(() => true);
+  }
+
   private createParts(): GatewayComponents {
     const {settings, dialect} = this.options;
     return {
@@ -235,7 +259,7 @@
     };
   }
 
-  private createClientServer(): Server {
+  private createClientServer(): ClientServer {
     return new ClientServer(
       {
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS,
