--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -38,6 +38,7 @@
   private readonly socket: Socket = createSocket('udp4');
   private readonly quarantineBus = new EventBus<QuarantineNotice>();
   private peers: readonly EntryPeer[] = [];
+  private isClosed = false;
 
   constructor(private readonly options: PeerNoticesOptions) {
     this.socket.on('message', bytes => this.receive(bytes));
@@ -125,8 +126,9 @@
     return this.quarantineBus.stream();
   }
 
-  /** Closes the socket. */
+  /** Closes the socket; later notices are dropped. */
   close(): void {
+    this.isClosed = true;
     this.socket.close();
   }
 
@@ -185,6 +187,7 @@
   }
 
   private send(notice: PlacementNotice, receivers: readonly Receiver[]): void {
+    if (this.isClosed) return;
     for (const {peer, relay} of receivers) {
       const {host, port} = peer.address;
       const bytes = Buffer.from(JSON.stringify({...notice, relay}));
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -8,6 +8,7 @@
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {RequestRunner} from './request_runner.js';
+import {responseClosed} from './response_closed.js';
 import {sendErrorResponse, type ErrorResponse} from './send_error_response.js';
 
 /** Retry-After of a host that has started and has no configuration yet. */
@@ -23,15 +24,18 @@
  */
 const CONFIG_WAIT_MS = 3_000;
 
+const STATUS_INTERNAL_ERROR = 500;
+
 const log = getLogger('request');
 
 /** Matches, authenticates and reads a request, and then runs it. */
 export class RequestHandler {
   private inFlightCount = 0;
+  private readonly runningRequests = new Set<AbortController>();
 
   constructor(private readonly components: GatewayComponents) {}
 
-  /** Number of requests that have not ended. */
+  /** Number of requests whose response was not handed over to the system. */
   get inFlight(): number {
     return this.inFlightCount;
   }
@@ -41,9 +45,20 @@
     this.inFlightCount++;
     try {
       await this.processRequest(req, res);
-    } finally {
-      this.inFlightCount--;
+    } catch (error) {
+      this.handleException(req, res, error);
     }
+    await responseClosed(res);
+    this.inFlightCount--;
+  }
+
+  /**
+   * Ends the requests in flight as if their deadlines had passed: those without
+   * a response get an error response.
+   */
+  endRequests(): void {
+    for (const controller of this.runningRequests)
+      controller.abort(AbortReason.DeadlineExceeded);
   }
 
   private async processRequest(
@@ -119,9 +134,47 @@
       () => controller.abort(AbortReason.DeadlineExceeded),
       Math.max(0, deadlineMs - monotonicMs()),
     );
-    await new RequestRunner(this.components, request).run();
-    clearTimeout(timer);
-    res.off('close', onClose);
+    this.runningRequests.add(controller);
+    try {
+      await new RequestRunner(this.components, request).run();
+    } finally {
+      this.runningRequests.delete(controller);
+      clearTimeout(timer);
+      res.off('close', onClose);
+    }
+  }
+
+  /**
+   * Responds with status 500 if nothing was sent, and resets the connection in
+   * the middle of a response: a plain close would end one without framing.
+   */
+  private handleException(
+    req: IncomingMessage,
+    res: ServerResponse,
+    error: unknown,
+  ): void {
+    getLogger('http').error('Unhandled error while serving a request.', {
+      reason: String(error),
+      stack: error instanceof Error ? error.stack : undefined,
+    });
+    if (res.writableEnded) return;
+    if (res.headersSent) {
+      req.socket.resetAndDestroy();
+      return;
+    }
+    const status = STATUS_INTERNAL_ERROR;
+    const headers = this.createErrorHeaders(req);
+    sendErrorResponse(res, {status, reason: 'internal error', headers});
+  }
+
+  /** Returns no headers if the dialect is what failed. */
+  private createErrorHeaders(req: IncomingMessage): ErrorResponse['headers'] {
+    const {dialect} = this.components;
+    try {
+      return dialect.writeResponse(dialect.readRequest(req.headers).requestId);
+    } catch {
+      return {};
+    }
   }
 
   private refuse(
