fix(gateway): a response whose head or framing never ends is cut off

What clients saw: a backend server that never ended its status line, the white space of a header field, interim responses, empty lines, a chunk's size or extension, or the white space of a trailer was read until the timeout of the attempt. The last attempt, and each at-most-once request, lasted until the deadline and ended with 504, and the host parsed at the speed of the sender.

Cause: undici's maxHeaderSize counts the names and values of header fields and trailers, and counts anew for each interim response. Nothing else is counted: no status line, no white space, no empty line, no chunk size or extension. headersTimeout and bodyTimeout are off, as the attempt has its own.

Header lines, trailers and garbage were cut off already; their rows guard that.

Why this works: the exchange compares what the parser has taken from the socket with the bytes of the body. The difference is everything else, whatever the parser calls it. 128 KiB hold a head and trailers of the maximum size, and each byte of a body allows eight more, as a chunk of one byte has five. The attempt fails as one that may have run, so the routes' rules on retries hold.

--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,3 +1,4 @@
+import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
 
 /**
@@ -15,6 +16,9 @@
 /** One connection to a backend server, which carries one request at a time. */
 export class Connection {
   readonly client: Client;
+  /** Called when bytes have arrived, before they are parsed. */
+  onReadable: () => void = () => {};
+  private socket?: Socket;
   private failed = false;
 
   /** `onClosed` is called when the connection has been closed. */
@@ -24,9 +28,11 @@
       pipelining: 1,
       connect: (options, callback) =>
         connect(options, (...result) => {
+          this.socket = result[1] ?? undefined;
           // Registered before undici's own listener, which treats a reset as
           // the end of a response that has no length.
-          result[1]?.on('error', () => (this.failed = true));
+          this.socket?.on('error', () => (this.failed = true));
+          this.socket?.on('readable', () => this.onReadable());
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -47,6 +53,12 @@
     return this.failed;
   }
 
+  /** Number of bytes received and parsed since the connection was opened. */
+  get parsedBytes(): number {
+    if (!this.socket) return 0;
+    return this.socket.bytesRead - this.socket.readableLength;
+  }
+
   /** Whether the connection can carry another request. */
   get isOpen(): boolean {
     return !this.failed && !this.client.destroyed && !this.client.closed;
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -7,6 +7,10 @@
 
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
+/** Limit of bytes outside the body: a head and trailers of the largest size. */
+const MAX_FRAMING_BYTES = 128 * 1_024;
+/** Additional framing per byte of the body; a chunk of one byte has five. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 /** Errors of a connection that its peer has closed or reset. */
 const DISCONNECT_CODES = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
@@ -19,6 +23,9 @@
   private controller?: Dispatcher.DispatchController;
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  private bodyBytes = 0;
+  /** Bytes that were parsed on the connection before this exchange. */
+  private earlierBytes = 0;
   private stateChanged = new Deferred<void>();
   private error?: ExchangeError;
   private isComplete = false;
@@ -29,7 +36,9 @@
   constructor(
     private readonly connection: Connection,
     private readonly onReusable: () => void,
-  ) {}
+  ) {
+    connection.onReadable = () => this.checkFramingSize();
+  }
 
   /** Resolves to the response head, or to the error that prevented it. */
   head(): Promise<Result<ResponseHead, ExchangeError>> {
@@ -65,6 +74,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    this.earlierBytes = this.connection.parsedBytes;
     if (this.cancelReason) controller.abort(this.cancelReason);
     // The undici client must not send the same request twice.
     else if (this.wasSent) controller.abort(new Error('sent twice'));
@@ -87,6 +97,7 @@
   ): void {
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
+    this.bodyBytes += chunk.length;
     if (this.bufferedBytes > MAX_BUFFERED_BYTES) controller.pause();
     this.stateChanged.resolve();
   }
@@ -111,6 +122,21 @@
     });
   }
 
+  /**
+   * Closes the connection when the bytes outside the body exceed their limit.
+   * The undici client bounds the names and values of header fields, and nothing
+   * else of a head, a chunk's size line or the trailers.
+   */
+  private checkFramingSize(): void {
+    const framingBytes =
+      this.connection.parsedBytes - this.earlierBytes - this.bodyBytes;
+    const maxBytes =
+      MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * this.bodyBytes;
+    if (framingBytes <= maxBytes) return;
+    this.cancel(`more than ${maxBytes} bytes outside the body`);
+    this.connection.close();
+  }
+
   private failWith(
     reason: string,
     {isConnectTimeout = false, isDisconnect = false} = {},
