fix(gateway): an event in many small chunks is copied a few times only

Cause: EventSplitter concatenated the whole remainder with each chunk and searched it from its start, so the work grew with the square of the event.

Why this works: the remainder grows by doubling, so each byte is copied a few times, and the search begins at the last byte received before.

--- a/packages/gateway/__tests__/event_splitter.test.ts
+++ b/packages/gateway/__tests__/event_splitter.test.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {describe, it, mock} from 'node:test';
 import fc from 'fast-check';
 import {EventSplitter} from '../src/request/event_splitter.js';
 
@@ -47,4 +47,42 @@
       {seed: 11, numRuns: 200},
     );
   });
+
+  it('leaves the returned events as they are when more bytes arrive', () => {
+    const splitter = new EventSplitter();
+    splitter.push(Buffer.from('data: '));
+    const {bytes} = splitter.push(Buffer.from('a\n\ndata: '));
+    splitter.push(Buffer.from('b\n\ndata: c'));
+    assert.equal(bytes.toString(), 'data: a\n\n');
+  });
+
+  it('copies the bytes of a large event a few times, not once a chunk', () => {
+    let copied = 0;
+    const {concat} = Buffer;
+    const {copy} = Buffer.prototype;
+    mock.method(Buffer, 'concat', (...args: Parameters<typeof concat>) => {
+      const result = concat(...args);
+      copied += result.length;
+      return result;
+    });
+    mock.method(
+      Buffer.prototype,
+      'copy',
+      function (this: Buffer, ...args: Parameters<typeof copy>): number {
+        const count = copy.apply(this, args);
+        copied += count;
+        return count;
+      },
+    );
+    try {
+      const splitter = new EventSplitter();
+      const size = 32 * 1_024;
+      const byte = Buffer.from('a');
+      for (let count = 0; count < size; count++) splitter.push(byte);
+      assert.equal(splitter.push(Buffer.from('\n\n')).bytes.length, size + 2);
+      assert.ok(copied <= 8 * size, `${copied}`);
+    } finally {
+      mock.restoreAll();
+    }
+  });
 });
--- a/packages/gateway/src/request/event_splitter.ts
+++ b/packages/gateway/src/request/event_splitter.ts
@@ -1,4 +1,5 @@
 const EVENT_END = Buffer.from('\n\n');
+const EMPTY = Buffer.alloc(0);
 const ID_FIELD = /^id:[ ]?(.*)$/m;
 
 /** Bytes of complete events, and how many events they are. */
@@ -14,34 +15,57 @@
 export class EventSplitter {
   /** Last id among the complete events. */
   lastEventId?: string;
-  private remainder: Buffer = Buffer.alloc(0);
+  /** Holds the bytes after the last complete event at its start. */
+  private buffer: Buffer = EMPTY;
+  private remainderBytes = 0;
 
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): CompleteEvents {
-    const pending =
-      this.remainder.length > 0
-        ? Buffer.concat([this.remainder, bytes])
-        : bytes;
+    // The end of an event may begin with the last byte received before.
+    let searchIndex = Math.max(0, this.remainderBytes - 1);
+    const pending = this.remainderBytes > 0 ? this.append(bytes) : bytes;
     let start = 0;
     let count = 0;
     for (;;) {
-      const endIndex = pending.indexOf(EVENT_END, start);
+      const endIndex = pending.indexOf(EVENT_END, searchIndex);
       if (endIndex < 0) break;
       this.updateLastEventId(pending.subarray(start, endIndex));
       start = endIndex + EVENT_END.length;
+      searchIndex = start;
       count++;
     }
-    this.remainder = pending.subarray(start);
+    if (count > 0) this.clear();
+    if (count > 0 || pending === bytes) this.append(pending.subarray(start));
     return {bytes: pending.subarray(0, start), count};
   }
 
   /** Removes and returns the bytes after the last complete event. */
   takeRemainder(): Buffer {
-    const {remainder} = this;
-    this.remainder = Buffer.alloc(0);
+    const remainder = this.buffer.subarray(0, this.remainderBytes);
+    this.clear();
     return remainder;
   }
 
+  /** Adds to the remainder and returns it; the buffer grows by doubling. */
+  private append(bytes: Buffer): Buffer {
+    const size = this.remainderBytes + bytes.length;
+    if (size > this.buffer.length) {
+      const capacity = Math.max(size, 2 * this.buffer.length);
+      const larger = Buffer.allocUnsafe(capacity);
+      this.buffer.copy(larger, 0, 0, this.remainderBytes);
+      this.buffer = larger;
+    }
+    bytes.copy(this.buffer, this.remainderBytes);
+    this.remainderBytes = size;
+    return this.buffer.subarray(0, size);
+  }
+
+  /** Starts a new buffer; the returned events may still be in use. */
+  private clear(): void {
+    this.buffer = EMPTY;
+    this.remainderBytes = 0;
+  }
+
   private updateLastEventId(event: Buffer): void {
     const id = ID_FIELD.exec(event.toString('latin1'))?.[1]?.trim();
     if (id) this.lastEventId = id;
