fix(gateway): a stream's event that never ends is cut off

What clients saw: a stream that stood still until the client gave up, or until the deadline, while its backend server sent one event without end. Each chunk counted as a sign of life, so no other backend server was asked.

Cause: EventSplitter kept whatever followed the last complete event, without a bound; bytes of an unfinished event end the timeout of a read.

Why this works: an event of more than 256 KiB cancels the exchange, and the stream goes on at the other backend server after its last complete event. The bytes stay in the splitter, so an event whose end has already arrived is still forwarded.

Existing tests: EventSplitter takes the callback now; the tests pass one that fails, so they check in addition that no sound event is reported.

--- a/packages/gateway/__tests__/event_splitter.test.ts
+++ b/packages/gateway/__tests__/event_splitter.test.ts
@@ -3,6 +3,7 @@
 import fc from 'fast-check';
 import {EventSplitter} from '../src/request/event_splitter.js';
 
+const MAX_EVENT_BYTES = 256 * 1_024;
 const STREAM =
   'id: 1\ndata: a\n\nid: 2\ndata: b\ndata: c\n\nid: 3\ndata: d\n\n';
 
@@ -23,7 +24,7 @@
   ];
   for (const {bytes, whole, lastEventId} of CASES) {
     it(`returns the complete events of ${JSON.stringify(bytes)}`, () => {
-      const splitter = new EventSplitter();
+      const splitter = new EventSplitter({onTooLarge: assert.fail});
       assert.equal(splitter.push(Buffer.from(bytes)).bytes.toString(), whole);
       assert.equal(splitter.lastEventId, lastEventId);
     });
@@ -32,7 +33,7 @@
   it('returns every byte once, whatever the sizes of the chunks', () => {
     fc.assert(
       fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
-        const splitter = new EventSplitter();
+        const splitter = new EventSplitter({onTooLarge: assert.fail});
         let passed = '';
         let at = 0;
         for (const size of [...sizes, STREAM.length]) {
@@ -48,8 +49,23 @@
     );
   });
 
+  for (const {size, calls} of [
+    {size: MAX_EVENT_BYTES, calls: 0},
+    {size: MAX_EVENT_BYTES + 1, calls: 1},
+  ]) {
+    it(`reports an event of ${size} bytes ${calls} times, and keeps it`, () => {
+      const onTooLarge = mock.fn();
+      const splitter = new EventSplitter({onTooLarge});
+      const bytes = Buffer.alloc(size, 'a');
+      splitter.push(bytes.subarray(0, MAX_EVENT_BYTES));
+      splitter.push(bytes.subarray(MAX_EVENT_BYTES));
+      assert.equal(onTooLarge.mock.callCount(), calls);
+      assert.ok(splitter.takeRemainder().equals(bytes));
+    });
+  }
+
   it('leaves the returned events as they are when more bytes arrive', () => {
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter({onTooLarge: assert.fail});
     splitter.push(Buffer.from('data: '));
     const {bytes} = splitter.push(Buffer.from('a\n\ndata: '));
     splitter.push(Buffer.from('b\n\ndata: c'));
@@ -75,7 +91,7 @@
       },
     );
     try {
-      const splitter = new EventSplitter();
+      const splitter = new EventSplitter({onTooLarge: assert.fail});
       const size = 32 * 1_024;
       const byte = Buffer.from('a');
       for (let count = 0; count < size; count++) splitter.push(byte);
--- a/packages/gateway/src/request/event_splitter.ts
+++ b/packages/gateway/src/request/event_splitter.ts
@@ -1,6 +1,8 @@
 const EVENT_END = Buffer.from('\n\n');
 const EMPTY = Buffer.alloc(0);
 const ID_FIELD = /^id:[ ]?(.*)$/m;
+/** Largest event of a stream; what an exchange buffers of a body. */
+const MAX_EVENT_BYTES = 256 * 1_024;
 
 /** Bytes of complete events, and how many events they are. */
 export interface CompleteEvents {
@@ -8,6 +10,12 @@
   readonly count: number;
 }
 
+/** Options of an `EventSplitter`. */
+export interface EventSplitterOptions {
+  /** Called when an event exceeds its limit; the caller reads no further. */
+  readonly onTooLarge: (reason: string) => void;
+}
+
 /**
  * Buffers a stream of server-sent events (WHATWG HTML, section 9.2) so that
  * only complete events are forwarded, and tracks the last event id.
@@ -19,6 +27,8 @@
   private buffer: Buffer = EMPTY;
   private remainderBytes = 0;
 
+  constructor(private readonly options: EventSplitterOptions) {}
+
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): CompleteEvents {
     // The end of an event may begin with the last byte received before.
@@ -36,6 +46,8 @@
     }
     if (count > 0) this.clear();
     if (count > 0 || pending === bytes) this.append(pending.subarray(start));
+    if (this.remainderBytes > MAX_EVENT_BYTES)
+      this.options.onTooLarge(`an event of more than ${MAX_EVENT_BYTES} bytes`);
     return {bytes: pending.subarray(0, start), count};
   }
 
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -58,7 +58,9 @@
         reason: `backend server answered ${head.status} to a resumed stream`,
       };
     }
-    const splitter = new EventSplitter();
+    const splitter = new EventSplitter({
+      onTooLarge: reason => exchange.cancel(reason),
+    });
     this.expectProgress(
       progress.events === 0 ? responseHeadTimeoutMs : pauseTimeoutMs,
     );
