fix(gateway): a buffered body that never ends is cut off

What clients saw: 504 at the deadline, for /read/x too, where another backend server could have answered, while the host kept whatever the faulty one sent.

Cause: Attempt.readBody collects the body without a bound, and no timeout runs between the response head and the deadline.

Why this works: the exchange of a body that is kept whole fails beyond 1 MiB, the limit that calls of services already have in packages/entry.

--- a/packages/gateway/__tests__/exchange_limits.test.ts
+++ b/packages/gateway/__tests__/exchange_limits.test.ts
@@ -43,6 +43,12 @@
   },
 ];
 
+/** Bodies that are kept whole, and the reason for which one fails. */
+const BODY_CASES = [
+  {size: MIB, reason: undefined},
+  {size: MIB + 1, reason: 'a body of more than 1048576 bytes'},
+];
+
 /** Bytes that the server sends without end on a connection. */
 const ENDLESS_CASES = [
   {name: 'blank lines as the response', start: '', piece: '\r\n'},
@@ -79,6 +85,19 @@
     });
   }
 
+  for (const {size, reason} of BODY_CASES) {
+    it(`keeps a body of ${size} bytes whole: ${!reason}`, async () => {
+      const head = `${HEAD}Content-Length: ${size}\r\n\r\n`;
+      respond = socket => socket.write(head + 'a'.repeat(size));
+      const exchange = pool.send({method: 'GET', path: '/', headers: []}, true);
+      assert.ok((await exchange.head()).ok);
+      exchange.limitBody();
+      let result = await exchange.read();
+      while (result.ok && result.value) result = await exchange.read();
+      assert.equal(result.ok ? undefined : result.error.reason, reason);
+    });
+  }
+
   for (const {name, start, piece} of ENDLESS_CASES) {
     it(`closes a connection that carries endless ${name}`, async () => {
       const sentBytes = new Promise<number>(resolve => {
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -7,6 +7,8 @@
 
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
+/** Largest body that is kept whole; as for the calls of services. */
+const MAX_BODY_BYTES = 1_024 * 1_024;
 /** Limit of bytes outside the body: a head and trailers of the largest size. */
 const MAX_FRAMING_BYTES = 128 * 1_024;
 /** Additional framing per byte of the body; a chunk of one byte has five. */
@@ -24,6 +26,7 @@
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
   private bodyBytes = 0;
+  private maxBodyBytes = Infinity;
   /** Bytes that were parsed on the connection before this exchange. */
   private earlierBytes = 0;
   private stateChanged = new Deferred<void>();
@@ -64,6 +67,12 @@
     return succeed(bytes);
   }
 
+  /** Fails the exchange when its body is larger than may be kept whole. */
+  limitBody(): void {
+    this.maxBodyBytes = MAX_BODY_BYTES;
+    this.checkBodySize();
+  }
+
   /** Resets the connection unless the response is complete. */
   cancel(reason: string): void {
     if (this.isComplete || this.error) return;
@@ -100,6 +109,7 @@
     this.bodyBytes += chunk.length;
     if (this.bufferedBytes > MAX_BUFFERED_BYTES) controller.pause();
     this.stateChanged.resolve();
+    this.checkBodySize();
   }
 
   onResponseEnd(): void {
@@ -122,6 +132,12 @@
     });
   }
 
+  private checkBodySize(): void {
+    const {bodyBytes, maxBodyBytes} = this;
+    if (bodyBytes > maxBodyBytes)
+      this.cancel(`a body of more than ${maxBodyBytes} bytes`);
+  }
+
   /**
    * Closes the connection when the bytes outside the body exceed their limit.
    * The undici client bounds the names and values of header fields, and nothing
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -122,6 +122,7 @@
   protected async readBody(
     exchange: Exchange,
   ): Promise<Buffer | ExchangeError> {
+    exchange.limitBody();
     const chunks: Buffer[] = [];
     for (;;) {
       const result = await exchange.read();
