fix(entry): an engine's error response that never ends is cut off

What clients saw, by the code (the tests show the bytes only): no error until the deadline of the request; a cancellation that was repeated after 1.5 s only. The host kept all that the engine sent.

Cause: the body of an error response was read as JSON without a bound.

The body of a confirmed cancellation was cut off by undici already; its row guards that.

Why this works: beyond 64 KiB the connection is closed, and the request counts as one that may have run, even if what has arrived reads as JSON.

--- a/packages/entry/__tests__/endless_response.test.ts
+++ b/packages/entry/__tests__/endless_response.test.ts
@@ -65,6 +65,9 @@
   return frames;
 };
 
+const cancel: Call = ({engines}, address) =>
+  engines.cancel(address, {requestId: 'request-1', attempt: 1});
+
 const CASES: readonly Case[] = [
   {
     name: 'a service, body',
@@ -80,6 +83,27 @@
     piece: '8\r\naaaaaaaa\r\n',
     limitBytes: 64 * 1_024,
   },
+  {
+    name: 'an engine, body of a failure',
+    call: generate,
+    start: `HTTP/1.1 500 Any\r\n${BODY_HEADERS}`,
+    piece: 'a',
+    limitBytes: 64 * 1_024,
+  },
+  {
+    name: 'an engine, body of a failed cancellation',
+    call: cancel,
+    start: `HTTP/1.1 500 Any\r\n${BODY_HEADERS}`,
+    piece: 'a',
+    limitBytes: 64 * 1_024,
+  },
+  {
+    name: 'an engine, body of a cancellation',
+    call: cancel,
+    start: HEAD + BODY_HEADERS,
+    piece: 'a',
+    limitBytes: 128 * 1_024,
+  },
 ];
 
 describe('a response that never ends', () => {
--- a/packages/entry/src/engine_client.ts
+++ b/packages/entry/src/engine_client.ts
@@ -18,6 +18,8 @@
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const CANCEL_TIMEOUT_MS = 1_500;
+/** Largest body of an error response; those of engines are under 1 KB. */
+const MAX_ERROR_BODY_BYTES = 64 * 1_024;
 const MAX_CONNECTIONS_PER_ENGINE = 1_024;
 /**
  * Time without any frame after which a stream is treated as broken. Engines
@@ -125,12 +127,31 @@
 async function parseErrorResponse(
   response: Dispatcher.ResponseData,
 ): Promise<VmuxError> {
+  const error = new VmuxError(ErrorCodes.BackendFailed, {
+    ran: RunState.Unknown,
+  });
   try {
-    const {error} = (await response.body.json()) as {error: VmuxErrorBody};
-    return VmuxError.fromBody({...error, ran: RunState.NotRun});
+    const text = await readErrorBody(response);
+    if (text === undefined) return error;
+    const body = JSON.parse(text) as {error: VmuxErrorBody};
+    return VmuxError.fromBody({...body.error, ran: RunState.NotRun});
   } catch {
-    return new VmuxError(ErrorCodes.BackendFailed, {ran: RunState.Unknown});
+    return error;
+  }
+}
+
+/** Reads a body; beyond its limit, closes the connection instead. */
+async function readErrorBody({
+  body,
+}: Dispatcher.ResponseData): Promise<string | undefined> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > MAX_ERROR_BODY_BYTES) return undefined;
+    chunks.push(chunk);
   }
+  return Buffer.concat(chunks).toString('utf8');
 }
 
 function toVmuxError(error: unknown): VmuxError {
