fix(entry): a response whose head or framing never ends is cut off

What clients saw, by the code (the tests show the bytes only): no answer from a plain service or an engine until the deadline of the request, while the host parsed whatever the faulty server sent.

Cause: as in the gateway, undici bounds the names and values of header fields only, and the timeouts of the client are off.

Header lines and garbage were cut off already; their rows guard that.

Why this works: the connector of both clients compares what the parser has taken from the socket with the bytes of the body, as the gateway's exchange does. The clients share pools, and undici tells only in its diagnostics channel which request is on which connection. The error leaves the outcome unknown.

--- a/packages/entry/__tests__/endless_response.test.ts
+++ b/packages/entry/__tests__/endless_response.test.ts
@@ -68,7 +68,43 @@
 const cancel: Call = ({engines}, address) =>
   engines.cancel(address, {requestId: 'request-1', attempt: 1});
 
+/** Parts of a response outside its body. */
+const FRAMING = [
+  {name: 'status line', start: 'HTTP/1.1 200 ', piece: 'a'},
+  {name: 'header lines', start: HEAD, piece: 'X-Field: value\r\n'},
+  {name: 'header white space', start: `${HEAD}X-Field:`, piece: ' '},
+  {
+    name: 'interim responses',
+    start: '',
+    piece: 'HTTP/1.1 102 Processing\r\n\r\n',
+  },
+  {name: 'blank lines', start: '', piece: '\r\n'},
+  {name: 'garbage', start: '', piece: '\x00\x7f(no answer)'},
+  {name: 'chunk size', start: CHUNKED_HEAD, piece: '0'},
+  {name: 'chunk extension', start: `${CHUNKED_HEAD}5;`, piece: 'a'},
+  {
+    name: 'trailer white space',
+    start: `${CHUNKED_HEAD}0\r\nX-Field:`,
+    piece: ' ',
+  },
+];
+
+const CALLS = [
+  {name: 'a service', call: callService},
+  {name: 'an engine', call: generate},
+];
+
+const FRAMING_CASES = CALLS.flatMap(({name: peer, call}) =>
+  FRAMING.map(({name, ...bytes}): Case => ({
+    name: `${peer}, ${name}`,
+    call,
+    limitBytes: 128 * 1_024,
+    ...bytes,
+  })),
+);
+
 const CASES: readonly Case[] = [
+  ...FRAMING_CASES,
   {
     name: 'a service, body',
     call: callService,
@@ -106,6 +142,18 @@
   },
 ];
 
+/** Bodies of the largest size that is accepted, in different framing. */
+const SOUND_CASES = [
+  {
+    name: 'with a length',
+    bytes: `${HEAD}Content-Length: ${MIB}\r\n\r\n${'a'.repeat(MIB)}`,
+  },
+  {
+    name: 'in chunks of one byte',
+    bytes: `${CHUNKED_HEAD}${'1\r\na\r\n'.repeat(MIB)}0\r\n\r\n`,
+  },
+];
+
 describe('a response that never ends', () => {
   let server: Server;
   let respond: (socket: Socket) => void = () => undefined;
@@ -130,6 +178,18 @@
     await clients.services.close();
   });
 
+  for (const {name, bytes} of SOUND_CASES) {
+    it(`is told from a large body ${name}`, async () => {
+      respond = socket => socket.write(bytes);
+      const {port} = server.address() as AddressInfo;
+      const signal = AbortSignal.timeout(CALL_TIMEOUT_MS);
+      const result = await callService(clients, {host: HOST, port}, signal);
+      assert.ok(result.ok);
+      const {body} = result.value as {readonly body: string};
+      assert.equal(Buffer.from(body, 'base64').toString(), 'a'.repeat(MIB));
+    });
+  }
+
   for (const {name, call, start, piece, limitBytes} of CASES) {
     it(`is cut off at its limit: ${name}`, async () => {
       const sentBytes = new Promise<number>(resolve => {
--- a/packages/entry/src/engine_client.ts
+++ b/packages/entry/src/engine_client.ts
@@ -14,6 +14,7 @@
   type VmuxErrorBody,
 } from '@vanillamux/shared';
 import {Agent, request, type Dispatcher} from 'undici';
+import {createLimitedConnector} from './create_limited_connector.js';
 import {splitLines} from './split_lines.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -37,7 +38,7 @@
 /** Calls engines over HTTP. */
 export class EngineClient {
   private readonly agent = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createLimitedConnector(CONNECT_TIMEOUT_MS),
     connections: MAX_CONNECTIONS_PER_ENGINE,
     // The caller's signal bounds a call; reads of frames have their own timeout.
     headersTimeout: 0,
--- a/packages/entry/src/service_client.ts
+++ b/packages/entry/src/service_client.ts
@@ -10,6 +10,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {Agent, request, type Dispatcher} from 'undici';
+import {createLimitedConnector} from './create_limited_connector.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_RESPONSE_BYTES = 1_024 * 1_024;
@@ -33,7 +34,7 @@
 /** Calls plain services over HTTP. */
 export class ServiceClient {
   private readonly agent = new Agent({
-    connect: {timeout: CONNECT_TIMEOUT_MS},
+    connect: createLimitedConnector(CONNECT_TIMEOUT_MS),
     headersTimeout: 0,
     bodyTimeout: 0,
   });
