--- a/packages/gateway/__tests__/exchange_limits.test.ts
+++ b/packages/gateway/__tests__/exchange_limits.test.ts
@@ -1,5 +1,4 @@
 import assert from 'node:assert/strict';
-import {once} from 'node:events';
 import {
   createServer,
   type AddressInfo,
@@ -8,6 +7,7 @@
 } from 'node:net';
 import {after, before, describe, it} from 'node:test';
 import {ConnectionPool} from '../src/connection/connection_pool.js';
+import {sendEndlessly} from './send_endlessly.js';
 
 const HOST = '127.0.0.1';
 const HEAD = 'HTTP/1.1 200 OK\r\n';
@@ -15,9 +15,6 @@
 const ANSWER = `${HEAD}Content-Length: 2\r\n\r\nok`;
 const INTERIM = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n';
 const MIB = 1_024 * 1_024;
-/** Far above any limit. */
-const MAX_SENT_BYTES = 8 * MIB;
-const PIECE_BYTES = 16 * 1_024;
 
 /** Responses of sound servers, with the body that is received. */
 const SOUND_CASES = [
@@ -109,25 +106,6 @@
   }
 });
 
-/** Sends until the caller closes; returns the number of bytes. */
-async function sendEndlessly(
-  socket: Socket,
-  start: string,
-  piece: string,
-): Promise<number> {
-  const pieces = piece.repeat(Math.ceil(PIECE_BYTES / piece.length));
-  let sentBytes = start.length;
-  socket.write(start);
-  while (!socket.destroyed && sentBytes < MAX_SENT_BYTES) {
-    sentBytes += pieces.length;
-    socket.write(pieces);
-    await new Promise(resolve => setImmediate(resolve));
-  }
-  if (!socket.destroyed) socket.destroy();
-  if (!socket.closed) await once(socket, 'close');
-  return sentBytes;
-}
-
 async function readBody(
   exchange: ReturnType<ConnectionPool['send']>,
 ): Promise<string> {
