--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -82,7 +82,13 @@
 
 /** Creates an exchange that has failed before anything was sent. */
 function createFailedExchange(reason: string): Exchange {
-  const exchange = new Exchange({hasFailed: true}, () => undefined);
+  const connection = {
+    hasFailed: true,
+    onReadable: () => undefined,
+    parsedBytes: 0,
+    close: () => undefined,
+  };
+  const exchange = new Exchange(connection, () => undefined);
   exchange.cancel(reason);
   return exchange;
 }
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -7,10 +7,22 @@
 
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
+/** Largest body that is kept whole; as for the calls of services. */
+const MAX_BODY_BYTES = 1_024 * 1_024;
+/** Limit of bytes outside the body: a head and trailers of the largest size. */
+const MAX_FRAMING_BYTES = 128 * 1_024;
+/** Additional framing per byte of the body; a chunk of one byte has five. */
+const MAX_FRAMING_PER_BODY_BYTE = 8;
 const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
 /** Errors of a connection that its peer has closed or reset. */
 const DISCONNECT_CODES = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
 
+/** What an exchange needs of its connection. */
+export type ExchangeConnection = Pick<
+  Connection,
+  'hasFailed' | 'onReadable' | 'parsedBytes' | 'close'
+>;
+
 /** One request and its response on one connection to a backend server. */
 export class Exchange implements Dispatcher.DispatchHandler {
   private readonly responseHead = new Deferred<
@@ -19,6 +31,10 @@
   private controller?: Dispatcher.DispatchController;
   private chunks: Buffer[] = [];
   private bufferedBytes = 0;
+  private bodyBytes = 0;
+  private maxBodyBytes = Infinity;
+  /** Bytes that were parsed on the connection before this exchange. */
+  private earlierBytes = 0;
   private stateChanged = new Deferred<void>();
   private error?: ExchangeError;
   private isComplete = false;
@@ -27,9 +43,11 @@
 
   /** `onReusable` is called once the connection can carry another request. */
   constructor(
-    private readonly connection: Pick<Connection, 'hasFailed'>,
+    private readonly connection: ExchangeConnection,
     private readonly onReusable: () => void,
-  ) {}
+  ) {
+    connection.onReadable = () => this.checkFramingSize();
+  }
 
   /** Resolves to the response head, or to the error that prevented it. */
   head(): Promise<Result<ResponseHead, ExchangeError>> {
@@ -55,6 +73,12 @@
     return succeed(bytes);
   }
 
+  /** Fails the exchange when its body is larger than may be kept whole. */
+  limitBody(): void {
+    this.maxBodyBytes = MAX_BODY_BYTES;
+    this.checkBodySize();
+  }
+
   /** Resets the connection unless the response is complete. */
   cancel(reason: string): void {
     if (this.isComplete || this.error) return;
@@ -65,6 +89,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.controller = controller;
+    this.earlierBytes = this.connection.parsedBytes;
     if (this.cancelReason) controller.abort(this.cancelReason);
     // The undici client must not send the same request twice.
     else if (this.wasSent) controller.abort(new Error('sent twice'));
@@ -87,8 +112,10 @@
   ): void {
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
+    this.bodyBytes += chunk.length;
     if (this.bufferedBytes > MAX_BUFFERED_BYTES) controller.pause();
     this.stateChanged.resolve();
+    this.checkBodySize();
   }
 
   onResponseEnd(): void {
@@ -111,6 +138,27 @@
     });
   }
 
+  private checkBodySize(): void {
+    const {bodyBytes, maxBodyBytes} = this;
+    if (bodyBytes > maxBodyBytes)
+      this.cancel(`a body of more than ${maxBodyBytes} bytes`);
+  }
+
+  /**
+   * Closes the connection when the bytes outside the body exceed their limit.
+   * The undici client bounds the names and values of header fields, and nothing
+   * else of a head, a chunk's size line or the trailers.
+   */
+  private checkFramingSize(): void {
+    const framingBytes =
+      this.connection.parsedBytes - this.earlierBytes - this.bodyBytes;
+    const maxBytes =
+      MAX_FRAMING_BYTES + MAX_FRAMING_PER_BODY_BYTE * this.bodyBytes;
+    if (framingBytes <= maxBytes) return;
+    this.cancel(`more than ${maxBytes} bytes outside the body`);
+    this.connection.close();
+  }
+
   private failWith(
     reason: string,
     {isConnectTimeout = false, isDisconnect = false} = {},
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -139,6 +139,7 @@
   protected async readBody(
     exchange: Exchange,
   ): Promise<Buffer | ExchangeError> {
+    exchange.limitBody();
     const chunks: Buffer[] = [];
     for (;;) {
       this.expectProgress(this.options.responseHeadTimeoutMs);
