fix(entry): a silent engine's generation is given up only for one that has begun

Clients got `backend_silent` in the middle of a stream, about 3 s after an engine had fallen silent, although it was sound and would have gone on. EngineAttempt gave the attempt up after three connections without a frame; only then did GenerationRunner ask for an attempt, a retry of the budget and another engine, and it cancelled the first attempt before any of them. A retry that another engine refused ended the request as well. A connection that could not be opened for a resume was taken for the end of the engine, too.

EngineAttempt now asks `canGiveUp` while it still can go on, and resumes until the deadline when the answer is no. GenerationRun keeps the silent attempt until another engine has accepted the request, then cancels it, and returns to it if none accepts. A resume ends an attempt only when the engine answers that it has none, or refuses the connection. The attempts of one request and their load moved from generation_runner.ts to two files of their own.

--- a/packages/entry/src/engine_attempt.ts
+++ b/packages/entry/src/engine_attempt.ts
@@ -8,6 +8,7 @@
   ErrorCodes,
   fail,
   RunState,
+  sleep,
   succeed,
   VmuxError,
   type Result,
@@ -17,7 +18,10 @@
 import type {FrameAssembler} from './frame_assembler.js';
 import {readWithTimeout, TIMED_OUT} from './read_with_timeout.js';
 
-const MAX_CONNECTIONS_PER_ATTEMPT = 3;
+/** Connections that break or fall silent with no token between them. */
+const MAX_BROKEN_CONNECTIONS = 3;
+/** Delay before the next connection to an engine that can't be given up. */
+const RESUME_DELAY_MS = 250;
 
 /** Options of an `EngineAttempt`. */
 export interface EngineAttemptOptions {
@@ -27,6 +31,10 @@
   readonly assembler: FrameAssembler;
   /** Called with each token frame, in order. */
   readonly onToken: (frame: Frame) => Promise<void>;
+  /** Called once the engine has accepted the request. */
+  readonly onAccepted?: () => void;
+  /** Whether something else will complete the request if this is given up. */
+  readonly canGiveUp: () => boolean;
   readonly signal: AbortSignal;
 }
 
@@ -34,60 +42,94 @@
 enum ConnectionOutcome {
   Done,
   Broken,
+  /** The connection could not be opened; the engine may still be running. */
+  Unreachable,
 }
 
 /**
  * Runs one attempt on one engine. When a connection breaks or delivers no frame
- * for `FRAME_TIMEOUT_MS`, it is closed and the stream resumes on a new one.
+ * for `FRAME_TIMEOUT_MS`, it is closed and the stream resumes on a new one. A
+ * silent engine is given up only if `canGiveUp` allows it.
  */
 export class EngineAttempt {
-  private connectionError?: VmuxError;
+  private isAccepted = false;
+  private isLost = false;
 
   constructor(private readonly options: EngineAttemptOptions) {}
 
+  /** Whether the engine may still be running the attempt, so that `run` can continue it. */
+  get isResumable(): boolean {
+    return this.isAccepted && !this.isLost;
+  }
+
+  /** Runs the attempt, or continues it after it was given up. */
   async run(): Promise<Result<void>> {
-    const {signal} = this.options;
-    for (
-      let connectionIndex = 0;
-      connectionIndex < MAX_CONNECTIONS_PER_ATTEMPT;
-      connectionIndex++
-    ) {
-      const connectionController = new AbortController();
-      const combinedSignal = AbortSignal.any([
-        signal,
-        connectionController.signal,
-      ]);
-      const opened = await this.openConnection(connectionIndex, combinedSignal);
-      if (!opened.ok) return fail(this.connectionError ?? opened.error);
-      const outcome = await this.readFrames(opened.value, connectionController);
+    const {signal, assembler, canGiveUp} = this.options;
+    let brokenConnections = 0;
+    for (;;) {
+      const firstIndex = assembler.nextIndex;
+      const outcome = await this.runConnection();
       if (signal.aborted) return fail(new VmuxError(ErrorCodes.Cancelled));
-      if (outcome instanceof VmuxError) return fail(outcome);
+      if (outcome instanceof VmuxError) {
+        this.isLost = true;
+        return fail(outcome);
+      }
       if (outcome === ConnectionOutcome.Done) return succeed(undefined);
-      this.connectionError = new VmuxError(ErrorCodes.BackendSilent, {
-        message: `backend server ${this.options.backend.id} went silent`,
-        ran: RunState.Unknown,
-      });
+      brokenConnections =
+        assembler.nextIndex > firstIndex ? 1 : brokenConnections + 1;
+      const isSilent =
+        outcome === ConnectionOutcome.Unreachable ||
+        brokenConnections >= MAX_BROKEN_CONNECTIONS;
+      if (!isSilent) continue;
+      if (canGiveUp()) return fail(this.createSilentError());
+      await sleep(RESUME_DELAY_MS, signal);
+    }
+  }
+
+  private async runConnection(): Promise<ConnectionOutcome | VmuxError> {
+    const controller = new AbortController();
+    const signal = AbortSignal.any([this.options.signal, controller.signal]);
+    try {
+      if (!this.isAccepted) {
+        const {client, backend, request, onAccepted} = this.options;
+        const opened = await client.generate(backend.address, request, signal);
+        if (!opened.ok) return opened.error;
+        this.isAccepted = true;
+        onAccepted?.();
+        return await this.readFrames(opened.value);
+      }
+      const resumed = await this.resume(controller, signal);
+      if (resumed.ok) return await this.readFrames(resumed.value);
+      // The engine has restarted or has released the attempt.
+      if (resumed.error.ran === RunState.NotRun)
+        return this.createSilentError();
+      return ConnectionOutcome.Unreachable;
+    } finally {
+      controller.abort(ABORT_REASON);
     }
-    return fail(
-      this.connectionError ?? new VmuxError(ErrorCodes.BackendFailed),
-    );
   }
 
-  private openConnection(
-    connectionIndex: number,
+  private async resume(
+    controller: AbortController,
     signal: AbortSignal,
   ): Promise<Result<AsyncIterable<Frame>>> {
     const {client, backend, request, assembler} = this.options;
-    if (connectionIndex === 0)
-      return client.generate(backend.address, request, signal);
     const {requestId, attempt} = request;
-    const resumeRequest = {requestId, attempt, fromIndex: assembler.nextIndex};
-    return client.resume(backend.address, resumeRequest, signal);
+    const timer = setTimeout(
+      () => controller.abort(ABORT_REASON),
+      FRAME_TIMEOUT_MS,
+    );
+    const resumed = await client.resume(
+      backend.address,
+      {requestId, attempt, fromIndex: assembler.nextIndex},
+      signal,
+    );
+    clearTimeout(timer);
+    return resumed;
   }
 
   private async readFrames(
     frames: AsyncIterable<Frame>,
-    connectionController: AbortController,
   ): Promise<ConnectionOutcome | VmuxError> {
     const iterator = frames[Symbol.asyncIterator]();
     try {
@@ -100,8 +142,6 @@
     } catch {
       // The connection broke; the next one resumes the stream.
       return ConnectionOutcome.Broken;
-    } finally {
-      connectionController.abort(ABORT_REASON);
     }
   }
 
@@ -124,4 +164,11 @@
     }
     return undefined;
   }
+
+  private createSilentError(): VmuxError {
+    return new VmuxError(ErrorCodes.BackendSilent, {
+      message: `backend server ${this.options.backend.id} went silent`,
+      ran: RunState.Unknown,
+    });
+  }
 }
--- a/packages/entry/src/engine_client.ts
+++ b/packages/entry/src/engine_client.ts
@@ -25,6 +25,11 @@
  */
 export const FRAME_TIMEOUT_MS = 1_000;
 
+/** Errors of a connection attempt; no byte of the request has been sent. */
+const NOT_SENT_CODES = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT']);
+/** Errors of a connection attempt that show that no engine is running. */
+const NOT_RUNNING_CODES = new Set(['ECONNREFUSED']);
+
 /** Body of `POST /v1/resume`: an attempt and the index of the next token. */
 export interface ResumeRequest {
   readonly requestId: string;
@@ -53,13 +58,22 @@
     return this.openStream(address, '/v1/generate', body, signal);
   }
 
-  /** Reconnects to an attempt that the engine is already running. */
+  /**
+   * Reconnects to an attempt that the engine is already running. An error's
+   * `ran` is `not_run` only if the engine has no such attempt.
+   */
   resume(
     address: Address,
     body: ResumeRequest,
     signal: AbortSignal,
   ): Promise<Result<AsyncIterable<Frame>>> {
-    return this.openStream(address, '/v1/resume', body, signal);
+    return this.openStream(
+      address,
+      '/v1/resume',
+      body,
+      signal,
+      NOT_RUNNING_CODES,
+    );
   }
 
   /** Cancels an attempt. Succeeds only once the engine has confirmed. */
@@ -83,8 +97,9 @@
     path: string,
     body: object,
     signal: AbortSignal,
+    notRunCodes = NOT_SENT_CODES,
   ): Promise<Result<AsyncIterable<Frame>>> {
-    const response = await this.post(address, path, body, signal);
+    const response = await this.post(address, path, body, signal, notRunCodes);
     if (!response.ok) return response;
     return succeed(readFrames(response.value.body));
   }
@@ -94,6 +109,7 @@
     path: string,
     body: object,
     signal: AbortSignal,
+    notRunCodes = NOT_SENT_CODES,
   ): Promise<Result<Dispatcher.ResponseData>> {
     let response: Dispatcher.ResponseData;
     try {
@@ -108,7 +124,7 @@
         },
       );
     } catch (error) {
-      return fail(toVmuxError(error));
+      return fail(toVmuxError(error, notRunCodes));
     }
     if (response.statusCode < 300) return succeed(response);
     return fail(await parseErrorResponse(response));
@@ -133,13 +149,15 @@
   }
 }
 
-function toVmuxError(error: unknown): VmuxError {
+function toVmuxError(
+  error: unknown,
+  notRunCodes: ReadonlySet<string>,
+): VmuxError {
   const {code, message} = error as {code?: string; message?: string};
-  const wasNotSent =
-    code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT';
+  const didNotRun = code !== undefined && notRunCodes.has(code);
   return new VmuxError(ErrorCodes.BackendFailed, {
     message: `backend server cannot be reached: ${message ?? String(error)}`,
-    ran: wasNotSent ? RunState.NotRun : RunState.Unknown,
+    ran: didNotRun ? RunState.NotRun : RunState.Unknown,
     cause: error,
   });
 }
--- a/packages/entry/src/gang_runner.ts
+++ b/packages/entry/src/gang_runner.ts
@@ -300,6 +300,7 @@
       request: createShareRequest(gangRequest, share, lastIndex, false),
       assembler,
       signal,
+      canGiveUp: () => true,
       onToken: async frame => {
         if (report.firstTokenMs === undefined) {
           report.firstTokenMs = monotonicMs() - ctx.startedMs;
--- a/packages/entry/src/generation_runner.ts
+++ b/packages/entry/src/generation_runner.ts
@@ -1,57 +1,26 @@
 import type {RetryBudget} from '@vanillamux/limits';
-import type {Frame} from '@vanillamux/protocol';
-import type {
-  InFlightTracker,
-  RoutingDecision,
-  RoutingPolicy,
-} from '@vanillamux/routing';
-import type {PrefixIndex} from '@vanillamux/routing';
+import type {RoutingDecision, RoutingPolicy} from '@vanillamux/routing';
 import {
   ErrorCodes,
-  EventKind,
   fail,
-  monotonicMs,
-  RunState,
-  sleep,
   succeed,
   VmuxError,
   type Result,
-  type Timeline,
 } from '@vanillamux/shared';
 import type {BackendDirectory} from './backend_directory.js';
-import type {BackendHealth} from './backend_health.js';
-import {createAbortError} from './create_abort_error.js';
-import {EngineAttempt} from './engine_attempt.js';
-import type {EngineCanceller} from './engine_canceller.js';
-import type {EngineClient} from './engine_client.js';
-import {FrameAssembler} from './frame_assembler.js';
+import type {GenerationAttemptServices} from './generation_attempt.js';
 import type {GenerationJob, GenerationReport, TokenSink} from './generation.js';
+import {GenerationRun} from './generation_run.js';
 import type {RequestContext} from './request_context.js';
-import type {
-  MemoryReservation,
-  ReservationClient,
-} from './reservation_client.js';
 
-const MAX_ATTEMPTS = 3;
 const TOKENS_PER_BLOCK = 512;
-const LEASE_MS = 2_000;
 const NO_BACKEND_RETRY_AFTER_MS = 1_000;
-/** Longest prompt, in engine steps, that runs without a memory reservation. */
-const MAX_UNRESERVED_STEPS = 8;
-const CAPACITY_RETRY_DELAY_MS = 50;
 
 /** Dependencies of a `GenerationRunner`. */
-export interface GenerationRunnerOptions {
+export interface GenerationRunnerOptions extends GenerationAttemptServices {
   readonly directory: BackendDirectory;
   readonly policy: RoutingPolicy;
-  readonly ledger: InFlightTracker;
-  readonly prefixIndex: PrefixIndex;
-  readonly health: BackendHealth;
-  readonly engineClient: EngineClient;
-  readonly canceller: EngineCanceller;
-  readonly reservationClient: ReservationClient;
   readonly retryBudget: RetryBudget;
-  readonly timeline: Timeline;
 }
 
 /** Routes generation requests to engines and retries on other engines. */
@@ -89,165 +58,21 @@
   }
 
   /** Runs a request until it completes or fails, and updates the report. */
-  async run(
+  run(
     ctx: RequestContext,
     job: GenerationJob,
     initialDecision: RoutingDecision,
     sink: TokenSink,
     report: GenerationReport,
   ): Promise<Result<void>> {
-    const assembler = new FrameAssembler(ctx.requestId);
-    const excluded = new Set<string>();
-    let decision = initialDecision;
-    let failedAttempts = 0;
-    this.options.retryBudget.deposit(ctx.workspace.name);
-    for (;;) {
-      report.attempts++;
-      report.backend = decision.backend.id;
-      const result = await this.runAttempt(
-        ctx,
-        job,
-        decision,
-        assembler,
-        sink,
-        report,
-      );
-      if (result.ok) return result;
-      if (ctx.signal.aborted) return fail(createAbortError(ctx));
-      excluded.add(decision.backend.id);
-      const {message} = result.error;
-      const detail = `${decision.backend.id}: ${message}`;
-      this.options.timeline.add(EventKind.AttemptFailed, detail, ctx.requestId);
-      const isQueueFull = result.error.code === ErrorCodes.QueueFull;
-      if (isQueueFull) {
-        const canRetry = await this.waitForCapacity(ctx, excluded);
-        if (!canRetry) return fail(createAbortError(ctx));
-      } else if (
-        ++failedAttempts >= MAX_ATTEMPTS ||
-        !this.tryAcquireRetry(ctx)
-      ) {
-        return result;
-      }
-      const next = this.chooseBackend(ctx, job, excluded);
-      if (!next.ok) return result;
-      decision = next.value;
-      assembler.discardBufferedFrames();
-    }
-  }
-
-  private tryAcquireRetry({workspace}: RequestContext): boolean {
-    return this.options.retryBudget.tryWithdraw(workspace.name);
-  }
-
-  /**
-   * Waits before all engines become candidates again. Returns whether the
-   * request is still active.
-   */
-  private async waitForCapacity(
-    ctx: RequestContext,
-    excluded: Set<string>,
-  ): Promise<boolean> {
-    await sleep(CAPACITY_RETRY_DELAY_MS * (1 + Math.random()), ctx.signal);
-    excluded.clear();
-    return !ctx.signal.aborted;
-  }
-
-  private async runAttempt(
-    ctx: RequestContext,
-    job: GenerationJob,
-    decision: RoutingDecision,
-    assembler: FrameAssembler,
-    sink: TokenSink,
-    report: GenerationReport,
-  ): Promise<Result<void>> {
-    const {ledger, engineClient, canceller, health, timeline} = this.options;
-    const {backend, cachedTokens} = decision;
-    const {requestId, workClass} = ctx;
-    const attempt = report.attempts;
-    timeline.add(EventKind.Routed, backend.id, requestId);
-    const reservation = await this.reserveLongPrompt(
+    return new GenerationRun({
+      services: this.options,
       ctx,
       job,
-      decision,
-      attempt,
-    );
-    if (!reservation.ok) return reservation;
-    const ledgerEntry = ledger.add({
-      backendId: backend.id,
-      priority: workClass.priority,
-      prefillTokens: Math.max(0, job.promptTokens - cachedTokens),
-      heldTokens: job.promptTokens + job.maxTokens,
-    });
-    const onToken = async (frame: Frame): Promise<void> => {
-      ledgerEntry.endPrefill();
-      if (report.firstTokenMs === undefined) {
-        report.firstTokenMs = monotonicMs() - ctx.startedMs;
-        report.cachedTokens = frame.cachedTokens ?? 0;
-        timeline.add(EventKind.FirstToken, backend.id, requestId);
-      }
-      report.answerTokens++;
-      await sink.write(frame.text);
-    };
-    const result = await new EngineAttempt({
-      client: engineClient,
-      backend,
-      request: {
-        requestId,
-        attempt,
-        model: job.model,
-        prompt: job.prompt,
-        promptTokens: job.promptTokens,
-        blocks: [...job.blockHashes],
-        maxTokens: job.maxTokens,
-        deliveredTokens: assembler.nextIndex,
-        priority: workClass.priority,
-        leaseMs: LEASE_MS,
-      },
-      assembler,
-      onToken,
-      signal: ctx.signal,
-    }).run();
-    ledgerEntry.end();
-    reservation.value?.release();
-    if (result.ok) {
-      health.recordSuccess(backend.id);
-      this.options.prefixIndex.addBlocks(backend.id, job.blockHashes);
-      return result;
-    }
-    // A refusal, such as a full queue, doesn't mean the engine is unhealthy.
-    const isBackendFailure = result.error.ran !== RunState.NotRun;
-    if (isBackendFailure && !ctx.signal.aborted)
-      health.recordFailure(backend.id);
-    if (result.error.ran !== RunState.NotRun || ctx.signal.aborted) {
-      canceller.cancel({address: backend.address, requestId, attempt});
-    }
-    return result;
-  }
-
-  /**
-   * Reserves KV memory for a long prompt, so that concurrent decisions of
-   * several entry hosts don't oversubscribe one engine. When the owner can't be
-   * reached, the attempt runs without a reservation and relies on the engine's
-   * own queue.
-   */
-  private async reserveLongPrompt(
-    ctx: RequestContext,
-    job: GenerationJob,
-    {backend}: RoutingDecision,
-    attempt: number,
-  ): Promise<Result<MemoryReservation | undefined>> {
-    const isLong =
-      job.promptTokens > MAX_UNRESERVED_STEPS * backend.chunkTokens;
-    if (!isLong) return succeed(undefined);
-    const reservation = await this.options.reservationClient.reserve({
-      backendId: backend.id,
-      failureDomain: backend.failureDomain,
-      holder: `${ctx.requestId}#${attempt}`,
-      tokens: job.promptTokens + job.maxTokens,
-    });
-    if (reservation.ok) return reservation;
-    if (reservation.error.code === ErrorCodes.QueueFull) return reservation;
-    return succeed(undefined);
+      sink,
+      report,
+      chooseBackend: excluded => this.chooseBackend(ctx, job, excluded),
+    }).run(initialDecision);
   }
 
   private createNoBackendError(job: GenerationJob, tokens: number): VmuxError {
