fix(entry): a response that failed after it began does not end as if complete

After an exception in the middle of a response, clients saw a stream that ended in order: sendError called `res.end()` once the headers had been sent, which writes the last chunk of a chunked body.

Evidence: packages/entry/__tests__/caller_server.test.ts ("Missing expected rejection" before the fix).

The connection is closed instead, so that the client sees a truncated body; a response that has been ended already is left alone.

--- a/packages/entry/src/send_error.ts
+++ b/packages/entry/src/send_error.ts
@@ -4,8 +4,8 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Responds with an error as JSON. Only ends the response if its headers have
- * already been sent.
+ * Responds with an error as JSON. Closes the connection if a response has
+ * already begun, so that it does not seem complete.
  */
 export function sendError(
   res: ServerResponse,
@@ -13,7 +13,7 @@
   requestId?: string,
 ): void {
   if (res.headersSent || res.destroyed) {
-    res.end();
+    if (!res.writableEnded) res.destroy();
     return;
   }
   const headers: Record<string, string> = {'content-type': 'application/json'};
