fix(entry): an exception while a request runs does not keep its place

Clients of a workspace would have been refused with `concurrency_limited` from then on, and a stop would have waited for the deadline: after an exception the permit was not released and the request stayed in flight. A stream that had begun got no error event.

Cause: ChatHandler and ServiceHandler released the permit and recorded the outcome only if nothing threw.

RequestManager.run turns the exception into an `internal` error of unknown outcome and always releases the permit, so that the request is answered and recorded like any other.

--- a/packages/entry/src/chat_handler.ts
+++ b/packages/entry/src/chat_handler.ts
@@ -132,16 +132,11 @@
       promptTokens,
       report,
     });
-    const result = runsOnGang
-      ? await this.options.gangRunner.run(ctx, job, responseWriter, report)
-      : await this.runOnBackend(
-          ctx,
-          job,
-          currentDecision,
-          responseWriter,
-          report,
-        );
-    permit.value.release();
+    const result = await requests.run(ctx, permit.value, () =>
+      runsOnGang
+        ? this.options.gangRunner.run(ctx, job, responseWriter, report)
+        : this.runOnBackend(ctx, job, currentDecision, responseWriter, report),
+    );
     const error = result.ok ? undefined : result.error;
     // The record holds the candidates of the decision that was used.
     const candidates = currentDecision.ok
--- a/packages/entry/src/request_manager.ts
+++ b/packages/entry/src/request_manager.ts
@@ -12,6 +12,7 @@
   ErrorCodes,
   EventKind,
   fail,
+  getLogger,
   monotonicMs,
   RunState,
   succeed,
@@ -23,6 +24,8 @@
 import type {EntryMetrics} from './entry_metrics.js';
 import type {RequestContext} from './request_context.js';
 
+const log = getLogger('http');
+
 /** What is known of a request before its admission. */
 export interface NewRequest {
   readonly res: ServerResponse;
@@ -121,6 +124,26 @@
     return succeed(permit.value);
   }
 
+  /**
+   * Runs an admitted request and releases its permit. An exception becomes an
+   * error, so that the request is answered and recorded like any other.
+   */
+  async run<T>(
+    {requestId}: RequestContext,
+    permit: Permit,
+    serve: () => Promise<Result<T>>,
+  ): Promise<Result<T>> {
+    try {
+      return await serve();
+    } catch (error) {
+      log.error('Unhandled error while serving a request.', {requestId, error});
+      const options = {ran: RunState.Unknown, cause: error};
+      return fail(new VmuxError(ErrorCodes.Internal, options));
+    } finally {
+      permit.release();
+    }
+  }
+
   /** Records that a request was refused before it ran. */
   refuse(
     ctx: RequestContext,
--- a/packages/entry/src/service_handler.ts
+++ b/packages/entry/src/service_handler.ts
@@ -138,16 +138,11 @@
     const report = {backend: '', attempts: 0};
     const sendCall = () =>
       this.sendWithRetries(ctx, service, call, key !== undefined, report);
-    const result = key
-      ? await this.options.atMostOnceRunner.run(
-          ctx,
-          service,
-          key,
-          call,
-          sendCall,
-        )
-      : toAtMostOnceResponse(await sendCall());
-    permit.value.release();
+    const result = await requests.run(ctx, permit.value, async () =>
+      key
+        ? this.options.atMostOnceRunner.run(ctx, service, key, call, sendCall)
+        : toAtMostOnceResponse(await sendCall()),
+    );
     const error = result.ok ? undefined : result.error;
     requests.finish(ctx, recordDetails, {...report, error});
     if (result.ok)
