fix(entry): a gang is given up for a silent engine only if another gang fits

Clients with a prompt for a gang got `backend_failed`, or a stream that broke off, although every engine was sound: one second without a frame on the stream of a prefill share ended the whole attempt, in the prefill as well as while another engine generated the output, and the third such second ended the request. Nobody asked whether the remaining engines could hold the prompt.

Cause: readUntilReady and monitorShare in gang_runner.ts read one connection with FRAME_TIMEOUT_MS and never resumed it; the output's engine was given up after three silent connections in any case.

Evidence: packages/entry/__tests__/silent_engine.test.ts, two cases of a gang of two engines, both failed before the fix ("engine-1 did not process its part of the prompt"; two attempts instead of one). A third case, a gang that is replaced because another fits, passed before and passes now.

--- a/packages/entry/__tests__/silent_engine.test.ts
+++ b/packages/entry/__tests__/silent_engine.test.ts
@@ -49,3 +49,30 @@
     assert.ok(accepted >= 0 && cancelled > accepted, fixture.calls.join(', '));
   });
 });
+
+describe('a gang with an engine that falls silent and goes on', () => {
+  for (const {name, engines} of [
+    {name: 'before its share is processed', engines: [SILENT, {}]},
+    {name: 'while it generates the output', engines: [{}, SILENT]},
+  ]) {
+    it(`is not given up when the engine is silent ${name} and no other gang fits`, async () => {
+      const fixture = new GenerationFixture({engines});
+      const {result, text, report} = await fixture.runOnGang();
+      await fixture.close();
+      assert.ok(result.ok, result.ok ? '' : result.error.message);
+      assert.equal(text, OUTPUT);
+      assert.equal(report.attempts, 1);
+    });
+  }
+
+  it('is replaced by another gang that fits', async () => {
+    const fixture = new GenerationFixture({
+      engines: [{silentConnections: Infinity}, {}, {}],
+    });
+    const {result, text, report} = await fixture.runOnGang();
+    await fixture.close();
+    assert.ok(result.ok, result.ok ? '' : result.error.message);
+    assert.equal(text, OUTPUT);
+    assert.equal(report.backend, 'engine-2+engine-3');
+  });
+});
--- a/packages/entry/__tests__/support/fake_engine.ts
+++ b/packages/entry/__tests__/support/fake_engine.ts
@@ -8,6 +8,8 @@
 import {ErrorCodes, VmuxError, type Address} from '@vanillamux/shared';
 import type {FakeEngineBehaviour} from './fake_engine_behaviour.js';
 
+const HEARTBEAT_INTERVAL_MS = 250;
+
 /** Options of a `FakeEngine`. */
 export interface FakeEngineOptions {
   readonly id: string;
@@ -92,6 +94,16 @@
     };
     res.writeHead(200);
     res.flushHeaders();
+    if (request.segment?.holdOnly) {
+      if (isSilent) return;
+      send({kind: FrameKind.Ready, index: fromIndex});
+      const heartbeat = setInterval(
+        () => send({kind: FrameKind.Heartbeat, index: fromIndex}),
+        HEARTBEAT_INTERVAL_MS,
+      );
+      res.on('close', () => clearInterval(heartbeat));
+      return;
+    }
     for (let index = fromIndex; index < endIndex; index++) {
       send({kind: FrameKind.Token, index});
     }
--- a/packages/entry/src/engine_attempt.ts
+++ b/packages/entry/src/engine_attempt.ts
@@ -33,6 +33,8 @@
   readonly onToken: (frame: Frame) => Promise<void>;
   /** Called once the engine has accepted the request. */
   readonly onAccepted?: () => void;
+  /** Called when the KV cache of a held segment is ready. */
+  readonly onReady?: () => void;
   /** Whether something else will complete the request if this is given up. */
   readonly canGiveUp: () => boolean;
   readonly signal: AbortSignal;
@@ -148,9 +150,10 @@
   private async handleFrame(
     frame: Frame,
   ): Promise<ConnectionOutcome | VmuxError | undefined> {
-    const {assembler, request, onToken} = this.options;
+    const {assembler, request, onToken, onReady} = this.options;
     for (const tokenFrame of assembler.accept(frame, request))
       await onToken(tokenFrame);
+    if (frame.kind === FrameKind.Ready) onReady?.();
     if (frame.kind === FrameKind.Done) {
       return assembler.isComplete(frame)
         ? ConnectionOutcome.Done
