fix(entry): a stop waits until the answers have been written

A client of an at-most-once request got a closed connection instead of an answer when its entry host received SIGTERM while the control group had no quorum: the outcome could not be settled by the request's deadline, and the process ended before the answer, which follows the settlement.

Cause: EntryServer.stop waited for the requests in flight only until their deadlines, and for a finished request not until its response was written; then it closed the connections.

By the code, a request whose body is still arriving and a response that its client reads slowly were cut the same way; neither was run.

ResponseTracker counts the responses from the arrival of the request until they are written; stop waits for them, at most 5 s after the last deadline.

--- a/packages/entry/src/entry_server.ts
+++ b/packages/entry/src/entry_server.ts
@@ -13,6 +13,13 @@
 import {EntryHost} from './entry_host.js';
 import {createEntryRouter} from './entry_router.js';
 import type {EntrySettings} from './entry_settings.js';
+import {ResponseTracker} from './response_tracker.js';
+
+/**
+ * Time for the last responses after the deadlines of their requests; settling
+ * an outcome takes up to 3 s of it.
+ */
+const RESPONSE_TIMEOUT_MS = 5_000;
 
 const log = getLogger('entry');
 
@@ -21,6 +28,7 @@
   private constructor(
     readonly host: EntryHost,
     private readonly callerServer: Server,
+    private readonly responses: ResponseTracker,
     private readonly internalServer: Server,
     private readonly closeRpc: () => void,
   ) {}
@@ -29,6 +37,7 @@
   static async start(settings: EntrySettings): Promise<Result<EntryServer>> {
     const host = new EntryHost(settings, await BlockHasher.create());
     const callerServer = createCallerServer(host);
+    const responses = new ResponseTracker(callerServer);
     const internalServer = createInternalServer(host);
     const closeRpc = serveRpc(internalServer, createEntryRouter(host));
     const internalPort = await listen(internalServer, settings.internal);
@@ -41,13 +50,13 @@
       internal: internalPort.value,
     });
     return succeed(
-      new EntryServer(host, callerServer, internalServer, closeRpc),
+      new EntryServer(host, callerServer, responses, internalServer, closeRpc),
     );
   }
 
   /**
    * Shuts down once the requests in flight have finished or reached their
-   * deadlines.
+   * deadlines, and their responses have been written.
    */
   async stop(): Promise<void> {
     const {host} = this;
@@ -56,6 +65,7 @@
     this.callerServer.close();
     this.callerServer.closeIdleConnections();
     await host.waitForDrain();
+    await this.responses.waitUntilWritten(RESPONSE_TIMEOUT_MS);
     await host.close();
     this.closeRpc();
     this.internalServer.close();
