fix(entry): the end of another attempt does not end a stream

A client would have got a stream that ended as complete without its last tokens, had the `done` frame of another attempt strayed into it: EngineAttempt checked the attempt of token frames (in FrameAssembler), not of `done` and `error` frames.

Frames of another request or attempt are dropped, whatever their kind.

--- a/packages/entry/__tests__/support/fake_engine.ts
+++ b/packages/entry/__tests__/support/fake_engine.ts
@@ -83,12 +83,18 @@
     fromIndex: number,
     res: ServerResponse,
   ): void {
-    const {silentConnections = 0, tokensBeforeSilence = 0} =
-      this.options.behaviour;
+    const {
+      silentConnections = 0,
+      tokensBeforeSilence = 0,
+      strayDoneIndex,
+      isLostBeforeDone,
+    } = this.options.behaviour;
     const isSilent = this.connections++ < silentConnections;
     const {requestId, attempt, maxTokens} = request;
     const endIndex = isSilent ? tokensBeforeSilence : maxTokens;
-    const send = (fields: Pick<Frame, 'kind' | 'index'>): void => {
+    const send = (
+      fields: Pick<Frame, 'kind' | 'index'> & Partial<Frame>,
+    ): void => {
       const text = fields.kind === FrameKind.Token ? `w${fields.index} ` : '';
       res.write(`${JSON.stringify({requestId, attempt, text, ...fields})}\n`);
     };
@@ -105,9 +111,16 @@
       return;
     }
     for (let index = fromIndex; index < endIndex; index++) {
+      if (index === strayDoneIndex)
+        send({kind: FrameKind.Done, index, attempt: attempt + 1});
       send({kind: FrameKind.Token, index});
     }
     if (isSilent) return;
+    if (isLostBeforeDone) {
+      this.requests.clear();
+      res.end();
+      return;
+    }
     send({kind: FrameKind.Done, index: maxTokens});
     res.end();
   }
--- a/packages/entry/src/engine_attempt.ts
+++ b/packages/entry/src/engine_attempt.ts
@@ -153,6 +153,10 @@
     const {assembler, request, onToken, onReady} = this.options;
     for (const tokenFrame of assembler.accept(frame, request))
       await onToken(tokenFrame);
+    const isOtherAttempt =
+      frame.requestId !== request.requestId ||
+      frame.attempt !== request.attempt;
+    if (isOtherAttempt) return undefined;
     if (frame.kind === FrameKind.Ready) onReady?.();
     if (frame.kind === FrameKind.Done) {
       return assembler.isComplete(frame)
