fix(entry): a generation is complete with its last token

Clients that had got every token of a response would have received an error event instead of the end, or one token too many from another engine, if their engine was lost between its last token and the `done` frame.

Cause: EngineAttempt took only the `done` frame for the end, although no token can follow the one that reaches `maxTokens`.

Evidence: packages/entry/__tests__/stream_end.test.ts (before the fix "backend server engine-1 went silent").

EngineAttempt succeeds once the last token has been delivered, however the connection ended.

--- a/packages/entry/__tests__/stream_end.test.ts
+++ b/packages/entry/__tests__/stream_end.test.ts
@@ -10,4 +10,14 @@
     assert.ok(result.ok, result.ok ? '' : result.error.message);
     assert.equal(text, 'w0 w1 w2 w3 ');
   });
+
+  it('is the last token when the engine is lost before it reports the end', async () => {
+    const fixture = new GenerationFixture({
+      engines: [{isLostBeforeDone: true}],
+    });
+    const {result, text} = await fixture.run();
+    await fixture.close();
+    assert.ok(result.ok, result.ok ? '' : result.error.message);
+    assert.equal(text, 'w0 w1 w2 w3 ');
+  });
 });
--- a/packages/entry/src/engine_attempt.ts
+++ b/packages/entry/src/engine_attempt.ts
@@ -66,12 +66,14 @@
 
   /** Runs the attempt, or continues it after it was given up. */
   async run(): Promise<Result<void>> {
-    const {signal, assembler, canGiveUp} = this.options;
+    const {signal, assembler, request, canGiveUp} = this.options;
     let brokenConnections = 0;
     for (;;) {
       const firstIndex = assembler.nextIndex;
       const outcome = await this.runConnection();
       if (signal.aborted) return fail(new VmuxError(ErrorCodes.Cancelled));
+      // Only the report of the end may be missing.
+      if (assembler.nextIndex >= request.maxTokens) return succeed(undefined);
       if (outcome instanceof VmuxError) {
         this.isLost = true;
         return fail(outcome);
