fix(entry): an engine that never responds does not hold a request to its deadline

Clients got `deadline_exceeded` although other engines were free: an engine that accepts the connection and sends no response to `generate` was waited for until the deadline. As a retry it also kept the request from going back to a silent attempt that was about to go on.

Cause: EngineAttempt had no time limit before the response headers of `generate`; only frames had one.

Evidence: packages/entry/__tests__/silent_engine.test.ts, "is taken over by another engine when it never responds" and "is not given up when the other engine is mute"; both ran into the deadline before the fix.

After 1.5 s without a response, EngineAttempt asks `canGiveUp`; it goes on waiting on the same connection when the answer is no. A retry that was not accepted gives way to the silent attempt before the lease of that one ends.

--- a/packages/entry/__tests__/silent_engine.test.ts
+++ b/packages/entry/__tests__/silent_engine.test.ts
@@ -22,6 +22,7 @@
       name: 'the other engine refuses',
       engines: [SILENT, {isRefusing: true}],
     },
+    {name: 'the other engine is mute', engines: [SILENT, {isMute: true}]},
     {
       name: 'no attempt is left',
       engines: [{isRefusing: true}, {isRefusing: true}, SILENT, {}],
@@ -37,6 +38,14 @@
     });
   }
 
+  it('is taken over by another engine when it never responds', async () => {
+    const fixture = new GenerationFixture({engines: [{isMute: true}, {}]});
+    const {result, text} = await fixture.run();
+    await fixture.close();
+    assert.ok(result.ok, result.ok ? '' : result.error.message);
+    assert.equal(text, OUTPUT);
+  });
+
   it('is cancelled only after another engine has accepted it', async () => {
     const fixture = new GenerationFixture({engines: [SILENT, {}]});
     const {result, text} = await fixture.run();
--- a/packages/entry/__tests__/support/fake_engine.ts
+++ b/packages/entry/__tests__/support/fake_engine.ts
@@ -60,7 +60,8 @@
       res.end('{}');
       return;
     }
-    const {isRefusing} = this.options.behaviour;
+    const {isRefusing, isMute} = this.options.behaviour;
+    if (isMute) return;
     const request =
       url === '/v1/generate'
         ? (body as GenerateRequest)
--- a/packages/entry/__tests__/support/fake_engine_behaviour.ts
+++ b/packages/entry/__tests__/support/fake_engine_behaviour.ts
@@ -8,6 +8,8 @@
   readonly strayDoneIndex?: number;
   /** Whether it is lost after the last token, before the end is reported. */
   readonly isLostBeforeDone?: boolean;
+  /** Whether it accepts connections and never responds. */
+  readonly isMute?: boolean;
   /** Whether every request is refused. */
   readonly isRefusing?: boolean;
 }
--- a/packages/entry/src/engine_attempt.ts
+++ b/packages/entry/src/engine_attempt.ts
@@ -20,6 +20,8 @@
 
 /** Connections that break or fall silent with no token between them. */
 const MAX_BROKEN_CONNECTIONS = 3;
+/** Time without a response after which an engine is silent; below its lease. */
+const RESPONSE_TIMEOUT_MS = 1_500;
 /** Delay before the next connection to an engine that can't be given up. */
 const RESUME_DELAY_MS = 250;
 
@@ -46,6 +48,8 @@
   Broken,
   /** The connection could not be opened; the engine may still be running. */
   Unreachable,
+  /** The engine has not responded to the request, which was given up. */
+  GivenUp,
 }
 
 /**
@@ -55,37 +59,37 @@
  */
 export class EngineAttempt {
   private isAccepted = false;
-  private isLost = false;
+  private wasGivenUp = false;
 
   constructor(private readonly options: EngineAttemptOptions) {}
 
-  /** Whether the engine may still be running the attempt, so that `run` can continue it. */
+  /** Whether the attempt was given up, so that `run` can continue it. */
   get isResumable(): boolean {
-    return this.isAccepted && !this.isLost;
+    return this.wasGivenUp;
   }
 
   /** Runs the attempt, or continues it after it was given up. */
   async run(): Promise<Result<void>> {
     const {signal, assembler, request, canGiveUp} = this.options;
     let brokenConnections = 0;
+    this.wasGivenUp = false;
     for (;;) {
       const firstIndex = assembler.nextIndex;
       const outcome = await this.runConnection();
       if (signal.aborted) return fail(new VmuxError(ErrorCodes.Cancelled));
       // Only the report of the end may be missing.
       if (assembler.nextIndex >= request.maxTokens) return succeed(undefined);
-      if (outcome instanceof VmuxError) {
-        this.isLost = true;
-        return fail(outcome);
-      }
+      if (outcome instanceof VmuxError) return fail(outcome);
       if (outcome === ConnectionOutcome.Done) return succeed(undefined);
       brokenConnections =
         assembler.nextIndex > firstIndex ? 1 : brokenConnections + 1;
       const isSilent =
         outcome === ConnectionOutcome.Unreachable ||
         brokenConnections >= MAX_BROKEN_CONNECTIONS;
+      this.wasGivenUp =
+        outcome === ConnectionOutcome.GivenUp || (isSilent && canGiveUp());
+      if (this.wasGivenUp) return fail(this.createSilentError());
       if (!isSilent) continue;
-      if (canGiveUp()) return fail(this.createSilentError());
       await sleep(RESUME_DELAY_MS, signal);
     }
   }
@@ -96,7 +100,10 @@
     try {
       if (!this.isAccepted) {
         const {client, backend, request, onAccepted} = this.options;
-        const opened = await client.generate(backend.address, request, signal);
+        const opened = await this.waitForResponse(
+          client.generate(backend.address, request, signal),
+        );
+        if (!opened) return ConnectionOutcome.GivenUp;
         if (!opened.ok) return opened.error;
         this.isAccepted = true;
         onAccepted?.();
@@ -113,6 +120,27 @@
     }
   }
 
+  /** Returns nothing if the engine has not responded and can be given up. */
+  private async waitForResponse<T>(
+    response: Promise<T>,
+  ): Promise<T | undefined> {
+    const {signal, canGiveUp} = this.options;
+    const timerController = new AbortController();
+    try {
+      for (;;) {
+        const timeout = sleep(RESPONSE_TIMEOUT_MS, timerController.signal);
+        const first = await Promise.race([
+          response,
+          timeout.then(() => undefined),
+        ]);
+        if (first !== undefined || signal.aborted) return await response;
+        if (canGiveUp()) return undefined;
+      }
+    } finally {
+      timerController.abort(ABORT_REASON);
+    }
+  }
+
   private async resume(
     controller: AbortController,
     signal: AbortSignal,
--- a/packages/entry/src/generation_attempt.ts
+++ b/packages/entry/src/generation_attempt.ts
@@ -68,7 +68,7 @@
     return this.options.decision.backend.id;
   }
 
-  /** Whether the engine may still be running the attempt, so that `run` can continue it. */
+  /** Whether the attempt was given up, so that `run` can continue it. */
   get isResumable(): boolean {
     return this.engineAttempt?.isResumable ?? false;
   }
--- a/packages/entry/src/generation_run.ts
+++ b/packages/entry/src/generation_run.ts
@@ -98,7 +98,8 @@
         this.silentAttempt?.cancel();
         this.silentAttempt = undefined;
       },
-      canGiveUp: () => this.planRetry(backendId),
+      canGiveUp: () =>
+        this.planRetry(backendId) || this.silentAttempt !== undefined,
     });
   }
 
@@ -140,17 +141,17 @@
     attempt: GenerationAttempt,
     error: VmuxError,
   ): GenerationAttempt | undefined {
-    // An attempt on a silent engine ends with its retry already planned.
-    const isPlanned = attempt.isResumable;
-    if (!isPlanned && error.code !== ErrorCodes.QueueFull)
+    // For an attempt on a silent engine, a retry has been planned if possible.
+    if (!attempt.isResumable && error.code !== ErrorCodes.QueueFull)
       this.planRetry(attempt.backendId);
     this.failedAttempts++;
     const {retry, silentAttempt} = this;
     this.retry = undefined;
-    if (retry) {
-      if (isPlanned) this.silentAttempt = attempt;
-      return this.createAttempt(retry);
+    if (attempt.isResumable) {
+      if (silentAttempt) attempt.cancel();
+      else this.silentAttempt = attempt;
     }
+    if (retry) return this.createAttempt(retry);
     this.silentAttempt = undefined;
     return silentAttempt;
   }
