fix(gateway): a whole body may have 8 MiB

The limit of 1 MiB that an endless body is cut off at also cut answers of services that are larger and sound; the tests of a stop, with 32 MiB, showed it. It is twice the largest request body now.

--- a/packages/gateway/__tests__/send_endlessly.ts
+++ b/packages/gateway/__tests__/send_endlessly.ts
@@ -1,7 +1,7 @@
 import type {Socket} from 'node:net';
 
 /** Bytes after which the sender closes; far above any limit. */
-const MAX_SENT_BYTES = 8 * 1_024 * 1_024;
+const MAX_SENT_BYTES = 16 * 1_024 * 1_024;
 const PIECE_BYTES = 16 * 1_024;
 
 /**
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -7,8 +7,8 @@
 
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
-/** Largest body that is kept whole; as for the calls of services. */
-const MAX_BODY_BYTES = 1_024 * 1_024;
+/** Largest body that is kept whole; twice that of the largest request. */
+const MAX_BODY_BYTES = 8 * 1_024 * 1_024;
 /** Limit of bytes outside the body: a head and trailers of the largest size. */
 const MAX_FRAMING_BYTES = 128 * 1_024;
 /** Additional framing per byte of the body; a chunk of one byte has five. */
