fix(gateway): events whose lines end with CRLF are forwarded as they arrive

Events were split at LF blank lines alone. A stream with CRLF was held until its end and, since a stream must end between events, then failed; WHATWG HTML allows both line ends. 2 new cases of event_splitter.test.ts and its property test with CRLF cover it.

--- a/packages/gateway/__tests__/event_splitter.test.ts
+++ b/packages/gateway/__tests__/event_splitter.test.ts
@@ -16,6 +16,16 @@
       lastEventId: '1',
     },
     {bytes: STREAM, whole: STREAM, lastEventId: '3'},
+    {
+      bytes: 'id: 1\r\ndata: a\r\n\r\nid: 2\r\n',
+      whole: 'id: 1\r\ndata: a\r\n\r\n',
+      lastEventId: '1',
+    },
+    {
+      bytes: 'id: 1\n\nid: 2\r\n\r\nid: 3\n\n',
+      whole: 'id: 1\n\nid: 2\r\n\r\nid: 3\n\n',
+      lastEventId: '3',
+    },
     {
       bytes: 'data: no id\n\n',
       whole: 'data: no id\n\n',
@@ -30,24 +40,34 @@
     });
   }
 
-  it('returns every byte once, whatever the sizes of the chunks', () => {
-    fc.assert(
-      fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
-        const splitter = new EventSplitter({onTooLarge: assert.fail});
-        let passed = '';
-        let at = 0;
-        for (const size of [...sizes, STREAM.length]) {
-          const bytes = Buffer.from(STREAM.slice(at, at + size));
-          passed += splitter.push(bytes).bytes.toString();
-          at += size;
-          assert.ok(passed === '' || passed.endsWith('\n\n'));
-        }
-        assert.equal(passed + splitter.takeRemainder().toString(), STREAM);
-        assert.equal(splitter.lastEventId, '3');
-      }),
-      {seed: 11, numRuns: 200},
-    );
-  });
+  const LINE_ENDS = [
+    {name: 'LF', stream: STREAM, eventEnd: '\n\n'},
+    {
+      name: 'CRLF',
+      stream: STREAM.replaceAll('\n', '\r\n'),
+      eventEnd: '\r\n\r\n',
+    },
+  ];
+  for (const {name, stream, eventEnd} of LINE_ENDS) {
+    it(`returns every byte once, whatever the sizes of the chunks, with ${name}`, () => {
+      fc.assert(
+        fc.property(fc.array(fc.integer({min: 1, max: 9})), sizes => {
+          const splitter = new EventSplitter({onTooLarge: assert.fail});
+          let passed = '';
+          let at = 0;
+          for (const size of [...sizes, stream.length]) {
+            const bytes = Buffer.from(stream.slice(at, at + size));
+            passed += splitter.push(bytes).bytes.toString();
+            at += size;
+            assert.ok(passed === '' || passed.endsWith(eventEnd));
+          }
+          assert.equal(passed + splitter.takeRemainder().toString(), stream);
+          assert.equal(splitter.lastEventId, '3');
+        }),
+        {seed: 11, numRuns: 200},
+      );
+    });
+  }
 
   for (const {size, calls} of [
     {size: MAX_EVENT_BYTES, calls: 0},
--- a/packages/gateway/src/request/event_splitter.ts
+++ b/packages/gateway/src/request/event_splitter.ts
@@ -1,4 +1,6 @@
-const EVENT_END = Buffer.from('\n\n');
+/** A blank line after a line that ended with LF or CRLF. */
+const LF_EVENT_END = Buffer.from('\n\n');
+const CRLF_EVENT_END = Buffer.from('\n\r\n');
 const EMPTY = Buffer.alloc(0);
 const ID_FIELD = /^id:[ ]?(.*)$/m;
 /** Largest event of a stream; what an exchange buffers of a body. */
@@ -31,16 +33,27 @@
 
   /** Adds bytes and returns the events that they complete. */
   push(bytes: Buffer): CompleteEvents {
-    // The end of an event may begin with the last byte received before.
-    let searchIndex = Math.max(0, this.remainderBytes - 1);
+    // The end of an event may begin with the last bytes received before.
+    let searchIndex = Math.max(
+      0,
+      this.remainderBytes - CRLF_EVENT_END.length + 1,
+    );
     const pending = this.remainderBytes > 0 ? this.append(bytes) : bytes;
+    let lfIndex = pending.indexOf(LF_EVENT_END, searchIndex);
+    let crlfIndex = pending.indexOf(CRLF_EVENT_END, searchIndex);
     let start = 0;
     let count = 0;
     for (;;) {
-      const endIndex = pending.indexOf(EVENT_END, searchIndex);
+      if (lfIndex >= 0 && lfIndex < searchIndex)
+        lfIndex = pending.indexOf(LF_EVENT_END, searchIndex);
+      if (crlfIndex >= 0 && crlfIndex < searchIndex)
+        crlfIndex = pending.indexOf(CRLF_EVENT_END, searchIndex);
+      const isCrlf = crlfIndex >= 0 && (lfIndex < 0 || crlfIndex < lfIndex);
+      const endIndex = isCrlf ? crlfIndex : lfIndex;
       if (endIndex < 0) break;
       this.updateLastEventId(pending.subarray(start, endIndex));
-      start = endIndex + EVENT_END.length;
+      const eventEnd = isCrlf ? CRLF_EVENT_END : LF_EVENT_END;
+      start = endIndex + eventEnd.length;
       searchIndex = start;
       count++;
     }
