--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -3,7 +3,7 @@
 import type {Dispatcher} from 'undici';
 import type {ResponseHead} from './response_head.js';
 import type {Connection} from './connection.js';
-import {ExchangeError} from './exchange_error.js';
+import {ExchangeError, type ExchangeErrorOptions} from './exchange_error.js';
 
 /** Buffered bytes above which reading from the connection is paused. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
@@ -159,16 +159,8 @@
     this.connection.close();
   }
 
-  private failWith(
-    reason: string,
-    {isConnectTimeout = false, isDisconnect = false} = {},
-  ): void {
-    this.error ??= new ExchangeError(
-      this.wasSent,
-      reason,
-      isConnectTimeout,
-      isDisconnect,
-    );
+  private failWith(reason: string, options?: ExchangeErrorOptions): void {
+    this.error ??= new ExchangeError(this.wasSent, reason, options);
     this.responseHead.resolve(fail(this.error));
     this.stateChanged.resolve();
   }
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -88,7 +88,7 @@
     const hasEnded = hasEvents || isFramed(head);
     if (!hasEnded || splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
-        new ExchangeError(true, 'ended inside an event', false, true),
+        new ExchangeError(true, 'ended inside an event', {isDisconnect: true}),
       );
     }
     this.startForwarding(head);
