--- a/packages/gateway/src/dialect/response_metadata.ts
+++ b/packages/gateway/src/dialect/response_metadata.ts
@@ -5,6 +5,11 @@
 export interface ResponseMetadata {
   readonly verdict: ResponseVerdict;
   readonly load?: LoadReport;
+  /**
+   * Requests a second that the backend server takes from all hosts together;
+   * `undefined` if it names no limit.
+   */
+  readonly requestLimitPerS?: number;
   /** Address of the helper that failed, if the response names one. */
   readonly failedHelperAddress?: string;
 }
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,4 +1,4 @@
-import {formatAddress, monotonicMs} from '@vanillamux/shared';
+import {formatAddress, getLogger, monotonicMs} from '@vanillamux/shared';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import type {ExchangeError} from '../connection/exchange_error.js';
@@ -20,6 +20,8 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
+const log = getLogger('request');
+
 /** Options of an `Attempt`. */
 export interface AttemptOptions {
   readonly components: GatewayComponents;
@@ -231,6 +233,7 @@
       backend.presence.failureDomain,
     );
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
+    this.recordRequestLimit(metadata);
     const rejection = this.checkResponse(metadata);
     if (rejection) return rejection;
     if (head.status < MIN_SERVER_ERROR_STATUS)
@@ -246,6 +249,23 @@
     };
   }
 
+  private recordRequestLimit({
+    verdict,
+    requestLimitPerS,
+  }: ResponseMetadata): void {
+    const {backend} = this.decision;
+    if (verdict !== ResponseVerdict.Valid) return;
+    if (requestLimitPerS === backend.requestLimitPerS) return;
+    log.info('A backend server changed its request limit.', {
+      request: this.request.metadata.requestId,
+      backend: backend.presence.id,
+      incarnation: backend.presence.incarnation,
+      limitPerS: requestLimitPerS,
+      before: backend.requestLimitPerS,
+    });
+    backend.requestLimitPerS = requestLimitPerS;
+  }
+
   /** Finds the helper at an address, other than the responding engine. */
   private findHelper(address: string | undefined): Backend | undefined {
     if (address === undefined) return undefined;
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -37,6 +37,7 @@
       request: metadata.requestId,
       backend: backend.presence.id,
       engines: helpers.length + 1,
+      helpers: helpers.map(({presence}) => presence.id).join(),
       promptTokens: metadata.promptTokens,
       answerTokens: metadata.expectedOutputTokens,
       partMs: Math.round(figures.prefillShareMs),
