fix(gateway): entry hosts keep the request limit that a backend server names

Cause: no host read the limit, and nothing shared one: each host sent what its placement chose, prefill shares of long prompts among it.

Change: packages/gateway/src/request_limits. Placement leaves out servers until their next permit; a request that only limits hold back is refused at once, with that time as Retry-After.

Shared retry budgets split a large allowance by the number of hosts, without messages; a seventh of one request a second cannot be split so.

--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -4,6 +4,7 @@
 import {describe, it} from 'node:test';
 import {PresenceState} from '@vanillamux/protocol';
 import {AttemptOutcome} from '../src/request/attempt_outcome.js';
+import {PermitVerdict} from '../src/request_limits/permit_verdict.js';
 import {GatewayMetrics} from '../src/server/gateway_metrics.js';
 import {createRoute} from './create_config.js';
 
@@ -17,6 +18,7 @@
   metrics.registerGauges({
     inFlight: () => 3,
     quarantinedParts: () => 1,
+    limitedBackends: () => 1,
     configVersion: () => 7,
     configAgeS: () => 1.5,
     controlHosts: () => 2,
@@ -43,10 +45,13 @@
   metrics.countAttempt('notes');
   metrics.countFailedAttempt('notes', AttemptOutcome.NotRun);
   metrics.countRetry('notes', false);
+  metrics.countPermit(PermitVerdict.Denied);
   return metrics.render();
 }
 
 const LINES = [
+  'vmux_gateway_permits_total{verdict="denied"} 1',
+  'vmux_gateway_limited_backends 1',
   'vmux_gateway_requests_total{sort="stream",end="delivered"} 1',
   'vmux_gateway_requests_total{sort="idempotent",end="broken"} 1',
   'vmux_gateway_refusals_total{status="503"} 1',
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -154,6 +154,11 @@
       recordSound: () => undefined,
       end: async () => undefined,
     },
+    requestLimits: {
+      waitMs: () => 0,
+      isLimited: () => false,
+      learn: () => undefined,
+    },
     requestRecorder: {
       hasCapacity: true,
       recordAdmission: () => undefined,
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -55,6 +55,7 @@
       },
       memory: {reserve: async () => []},
       notices: {tell: () => {}, tellEnd: () => {}},
+      requestLimits: {waitMs: () => 0, isLimited: () => false, learn: () => {}},
       quarantine: {
         check: () => undefined,
         watch: () => ({}),
@@ -117,6 +118,7 @@
       // Only the first attempt gets the memory that it needs.
       memory: {reserve: async () => (reservations++ === 0 ? [] : undefined)},
       notices: {tell: () => {}, tellEnd: () => {}},
+      requestLimits: {waitMs: () => 0, isLimited: () => false, learn: () => {}},
       quarantine: {
         check: () => undefined,
         watch: () => ({}),
--- a/packages/gateway/src/fleet/backend.ts
+++ b/packages/gateway/src/fleet/backend.ts
@@ -12,8 +12,6 @@
   readonly work = new WorkTracker();
   /** Requests of this host that have not ended. */
   inFlight = 0;
-  /** Request limit that its latest response named, per second. */
-  requestLimitPerS?: number;
   private loadReport?: LoadReport;
   private loadReportedMs = 0;
   private inFlightAtReport = 0;
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -15,6 +15,7 @@
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
+import type {RequestLimitNotice} from '../request_limits/request_limit_notice.js';
 import {chooseReceivers, type Receiver} from './choose_receivers.js';
 import type {PlacementNotice} from './placement_notice.js';
 import {placementNoticeSchema} from './placement_notice_schema.js';
@@ -29,6 +30,18 @@
   readonly backends: BackendPool;
 }
 
+/** Facts about backend servers and requests that hosts exchange. */
+export interface PeerFacts {
+  readonly quarantine?: QuarantineNotice;
+  readonly limits?: RequestLimitNotice;
+}
+
+/** Notice about request limits, and the id of the host that sent it. */
+export interface ReceivedLimitNotice {
+  readonly from: string;
+  readonly notice: RequestLimitNotice;
+}
+
 /**
  * Broadcasts the work that this entry host places, so that several hosts do not
  * choose the same engines within a few milliseconds. Notices are hints: they
@@ -37,6 +50,7 @@
 export class PeerNotices {
   private readonly socket: Socket = createSocket('udp4');
   private readonly quarantineBus = new EventBus<QuarantineNotice>();
+  private readonly limitBus = new EventBus<ReceivedLimitNotice>();
   private peers: readonly EntryPeer[] = [];
   private isClosed = false;
 
@@ -103,20 +117,29 @@
     });
   }
 
-  /** Broadcasts ends of backend servers and what follows for prompt parts. */
-  broadcastQuarantine(quarantine: QuarantineNotice): void {
-    this.broadcast(this.createQuarantineNotice(quarantine));
+  /** Broadcasts facts that every host needs. */
+  broadcastFacts(facts: PeerFacts): void {
+    this.broadcast(this.createFactsNotice(facts));
   }
 
-  /** Sends a notice to `count` random peers. */
-  sendQuarantine(quarantine: QuarantineNotice, count: number): void {
+  /** Sends facts to `count` random peers. */
+  sendFacts(facts: PeerFacts, count: number): void {
     const start = Math.floor(Math.random() * this.peers.length);
     const receivers = [
       ...this.peers.slice(start),
       ...this.peers.slice(0, start),
     ].slice(0, count);
     this.send(
-      this.createQuarantineNotice(quarantine),
+      this.createFactsNotice(facts),
+      receivers.map(peer => ({peer, relay: false})),
+    );
+  }
+
+  /** Sends facts to one peer, if it is known. */
+  sendFactsTo(peerId: string, facts: PeerFacts): void {
+    const receivers = this.peers.filter(({id}) => id === peerId);
+    this.send(
+      this.createFactsNotice(facts),
       receivers.map(peer => ({peer, relay: false})),
     );
   }
@@ -126,22 +149,26 @@
     return this.quarantineBus.stream();
   }
 
+  /** Streams the notices of other hosts about request limits. */
+  limitNotices(): Stream<ReceivedLimitNotice> {
+    return this.limitBus.stream();
+  }
+
   /** Closes the socket; later notices are dropped. */
   close(): void {
     this.isClosed = true;
     this.socket.close();
   }
 
-  private createQuarantineNotice(
-    quarantine: QuarantineNotice,
-  ): PlacementNotice {
+  private createFactsNotice({quarantine, limits}: PeerFacts): PlacementNotice {
     return {
       from: this.options.id,
       work: '',
       relay: false,
       placed: [],
       ended: [],
-      quarantine: {sound: [], facts: [], ...quarantine},
+      quarantine: quarantine && {sound: [], facts: [], ...quarantine},
+      limits: limits && {facts: [], ...limits},
     };
   }
 
@@ -175,6 +202,8 @@
       );
     }
     if (notice.quarantine) this.quarantineBus.emit(notice.quarantine);
+    if (notice.limits)
+      this.limitBus.emit({from: notice.from, notice: notice.limits});
     if (notice.relay) this.relay(notice);
   }
 
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {requestLimitNoticeSchema} from '../request_limits/request_limit_notice_schema.js';
 import {quarantineNoticeSchema} from '../quarantine/quarantine_notice_schema.js';
 
 const nonNegativeSchema = z.number().min(0);
@@ -26,4 +27,6 @@
   ended: z.array(z.string()).default([]),
   /** Ends of backend servers, and prompt parts that explain them. */
   quarantine: quarantineNoticeSchema.optional(),
+  /** Request limits of backend servers, and permits for them. */
+  limits: requestLimitNoticeSchema.optional(),
 });
--- a/packages/gateway/src/quarantine/quarantine_manager.ts
+++ b/packages/gateway/src/quarantine/quarantine_manager.ts
@@ -162,7 +162,7 @@
     });
     const crash: CrashReport = {backend: id, incarnation, parts: [...parts]};
     this.recordCrash(crash);
-    this.options.notices.broadcastQuarantine({crash});
+    this.options.notices.broadcastFacts({quarantine: {crash}});
   }
 
   private confirm({backend}: WatchedAttempt): Promise<boolean> {
@@ -215,7 +215,7 @@
   private add(part: string): void {
     const fact = this.quarantine.add(part, monotonicMs());
     this.applyFact(fact, 'own');
-    this.options.notices.broadcastQuarantine({facts: [fact]});
+    this.options.notices.broadcastFacts({quarantine: {facts: [fact]}});
   }
 
   private lift(part: string, requestId: string): void {
@@ -225,7 +225,7 @@
       promptPart: part,
     });
     this.applyFact(fact, 'own');
-    this.options.notices.broadcastQuarantine({facts: [fact]});
+    this.options.notices.broadcastFacts({quarantine: {facts: [fact]}});
   }
 
   private applyFact(
@@ -271,13 +271,13 @@
     }
     if (sound.length === 0) return;
     for (const part of sound) this.soundReportedMs.set(part, nowMs);
-    this.options.notices.broadcastQuarantine({sound});
+    this.options.notices.broadcastFacts({quarantine: {sound}});
   }
 
   private sync(): void {
     const facts = this.quarantine.facts(monotonicMs(), MAX_FACTS_PER_NOTICE);
     if (facts.length > 0)
-      this.options.notices.sendQuarantine({facts}, SYNC_RECEIVERS);
+      this.options.notices.sendFacts({quarantine: {facts}}, SYNC_RECEIVERS);
   }
 
   private count(event: QuarantineEvent): void {
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,4 +1,4 @@
-import {formatAddress, getLogger, monotonicMs} from '@vanillamux/shared';
+import {formatAddress, monotonicMs} from '@vanillamux/shared';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import type {ExchangeError} from '../connection/exchange_error.js';
@@ -20,8 +20,6 @@
 
 const MIN_SERVER_ERROR_STATUS = 500;
 
-const log = getLogger('request');
-
 /** Options of an `Attempt`. */
 export interface AttemptOptions {
   readonly components: GatewayComponents;
@@ -57,6 +55,7 @@
   protected readonly components: GatewayComponents;
   protected readonly request: ClientRequest;
   protected readonly decision: PlacementDecision;
+  private readonly startedMs = monotonicMs();
   private silenceTimer?: NodeJS.Timeout;
   private isSilent = false;
 
@@ -233,7 +232,7 @@
       backend.presence.failureDomain,
     );
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
-    this.recordRequestLimit(metadata);
+    this.learnRequestLimit(metadata);
     const rejection = this.checkResponse(metadata);
     if (rejection) return rejection;
     if (head.status < MIN_SERVER_ERROR_STATUS)
@@ -249,21 +248,19 @@
     };
   }
 
-  private recordRequestLimit({
+  /** A refusal may omit the limit, and does not end one. */
+  private learnRequestLimit({
     verdict,
     requestLimitPerS,
   }: ResponseMetadata): void {
-    const {backend} = this.decision;
-    if (verdict !== ResponseVerdict.Valid) return;
-    if (requestLimitPerS === backend.requestLimitPerS) return;
-    log.info('A backend server changed its request limit.', {
-      request: this.request.metadata.requestId,
-      backend: backend.presence.id,
-      incarnation: backend.presence.incarnation,
-      limitPerS: requestLimitPerS,
-      before: backend.requestLimitPerS,
-    });
-    backend.requestLimitPerS = requestLimitPerS;
+    const isRefusal = verdict === ResponseVerdict.NotRun;
+    if (verdict !== ResponseVerdict.Valid && !isRefusal) return;
+    if (isRefusal && requestLimitPerS === undefined) return;
+    this.components.requestLimits.learn(
+      this.decision.backend,
+      requestLimitPerS,
+      this.startedMs,
+    );
   }
 
   /** Finds the helper at an address, other than the responding engine. */
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -6,6 +6,7 @@
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {PlacementPolicies} from '../placement/placement_policies.js';
 import type {QuarantineManager} from '../quarantine/quarantine_manager.js';
+import type {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import type {RequestRecorder} from './request_recorder.js';
 import type {SharedRetryBudget} from './shared_retry_budget.js';
@@ -21,6 +22,7 @@
   readonly memory: MemoryReservationManager;
   readonly notices: PeerNotices;
   readonly quarantine: QuarantineManager;
+  readonly requestLimits: RequestLimitManager;
   readonly requestRecorder: RequestRecorder;
   readonly metrics: GatewayMetrics;
   /** Whether the host is draining before it stops. */
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -27,6 +27,8 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 /** Attempts that did not run, after which no further one is made. */
 const MAX_REJECTIONS = 4;
+/** Denied permits after which backend servers with a limit are left out. */
+const MAX_DENIED_PERMITS = 3;
 /** Delay before a retry after an exchange in which the request did not run. */
 const RETRY_DELAY_MS = 30;
 /** Interval at which a request checks for the first backend server. */
@@ -55,6 +57,8 @@
   private endedArrivals = 0;
   /** Attempts that certainly did not run. */
   private rejections = 0;
+  /** Placements that were given up for want of a permit. */
+  private deniedPermits = 0;
   /** Retry-After of a response to a request that did not run. */
   private retryAfterMs = RETRY_AFTER_MS;
   private failureResponse?: AttemptResult['failureResponse'];
@@ -132,12 +136,24 @@
       }
       const decision = this.place();
       if (decision) {
+        const limited = this.limitedEngines(decision);
+        if (limited.length > 0) {
+          const isPermitted = await this.acquirePermits(limited);
+          // Another attempt may have made progress in the meantime.
+          if (!this.running.areAllSilent) return undefined;
+          if (!isPermitted) continue;
+        }
         const isBudgeted = this.possibleArrivals > 0;
         if (isBudgeted && !this.acquireRetry())
           return 'retry budget is used up';
         this.launch(decision, isBudgeted);
         return undefined;
       }
+      const limitWaitMs = this.limitWaitMs();
+      if (limitWaitMs !== undefined) {
+        this.retryAfterMs = Math.max(RETRY_AFTER_MS, Math.ceil(limitWaitMs));
+        return 'every backend server has reached its request limit';
+      }
       const isWaiting = this.running.size === 0 && this.mayWaitForBackend;
       if (!isWaiting) {
         return this.attemptedBackends.size > 0
@@ -172,17 +188,16 @@
     const {request, components} = this;
     const {service, route, metadata} = request;
     const nowMs = monotonicMs();
-    const all = components.backends.candidates(service.name);
-    const unattempted = all.filter(
-      backend => !this.attemptedBackends.has(backend),
+    const permitted = this.unattempted().filter(backend =>
+      this.mayBePermitted(backend, nowMs),
     );
     const {reachability: reach} = components.backends;
-    const available = unattempted.filter(
+    const available = permitted.filter(
       ({failures, presence}) =>
         !failures.isEjected(nowMs) &&
         !reach.isUnreachable(presence.failureDomain, nowMs),
     );
-    const candidates = available.length > 0 ? available : unattempted;
+    const candidates = available.length > 0 ? available : permitted;
     if (candidates.length === 0) return undefined;
     return components.placements.for(service).place({
       service,
@@ -194,6 +209,56 @@
     });
   }
 
+  /** Backend servers of the service that no attempt has used. */
+  private unattempted(): Backend[] {
+    return this.components.backends
+      .candidates(this.request.service.name)
+      .filter(backend => !this.attemptedBackends.has(backend));
+  }
+
+  /** Whether the backend server has no request limit, or may have a permit. */
+  private mayBePermitted(backend: Backend, nowMs: number): boolean {
+    const {requestLimits} = this.components;
+    return this.deniedPermits < MAX_DENIED_PERMITS
+      ? requestLimits.waitMs(backend, nowMs) === 0
+      : !requestLimits.isLimited(backend);
+  }
+
+  /**
+   * Time until one of the backend servers that are left may have a permit;
+   * `undefined` unless their request limits alone keep the request from them.
+   */
+  private limitWaitMs(): number | undefined {
+    const nowMs = monotonicMs();
+    const left = this.unattempted();
+    const isHeldByLimits =
+      left.length > 0 &&
+      !left.some(backend => this.mayBePermitted(backend, nowMs));
+    if (!isHeldByLimits) return undefined;
+    const {requestLimits} = this.components;
+    return Math.min(...left.map(other => requestLimits.waitMs(other, nowMs)));
+  }
+
+  /** Engines of a decision that require a permit, helpers among them. */
+  private limitedEngines(decision: PlacementDecision): Backend[] {
+    const {backend, helpers, memory} = decision;
+    const engines = new Set([
+      backend,
+      ...helpers,
+      ...memory.map(share => share.backend),
+    ]);
+    const {requestLimits} = this.components;
+    return [...engines].filter(engine => requestLimits.isLimited(engine));
+  }
+
+  private async acquirePermits(engines: readonly Backend[]): Promise<boolean> {
+    const {requestId} = this.request.metadata;
+    const {requestLimits} = this.components;
+    const isGranted = await requestLimits.acquire(requestId, engines);
+    if (!isGranted) this.deniedPermits++;
+    return isGranted;
+  }
+
   /** Whether the service may still get its first backend server in time. */
   private get mayWaitForBackend(): boolean {
     const {service, route, startedMs} = this.request;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -24,6 +24,7 @@
 import {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import {PlacementPolicies} from '../placement/placement_policies.js';
 import {QuarantineManager} from '../quarantine/quarantine_manager.js';
+import {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import {PeerNotices} from '../peers/peer_notices.js';
 import {PeerRoster} from '../peers/peer_roster.js';
 import type {GatewayComponents} from '../request/gateway_components.js';
@@ -90,9 +91,12 @@
   private readonly notices: PeerNotices;
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
+  private readonly requestLimits: RequestLimitManager;
   private readonly clientServer: ClientServer;
   private readonly probeServers: Server[] = [];
   private readonly metrics = new GatewayMetrics();
+  private readonly hostIds = (): string[] =>
+    this.roster.current(monotonicMs()).map(({id}) => id);
 
   private constructor(private readonly options: GatewayOptions) {
     const {settings, dialect} = options;
@@ -129,7 +133,14 @@
       id: settings.id,
       notices: this.notices,
       metrics: this.metrics,
-      hostIds: () => this.roster.current(monotonicMs()).map(({id}) => id),
+      hostIds: this.hostIds,
+    });
+    this.requestLimits = new RequestLimitManager({
+      id: settings.id,
+      notices: this.notices,
+      backends: this.backends,
+      metrics: this.metrics,
+      hostIds: this.hostIds,
     });
     this.handler = new RequestHandler(this.createParts());
     this.clientServer = this.createClientServer();
@@ -148,6 +159,7 @@
     if (!noticesBound.ok) return noticesBound;
     gateway.links.start();
     gateway.quarantine.start();
+    gateway.requestLimits.start();
     void gateway.recorder.run(gateway.stopping.signal);
     const {listen: address} = options.settings;
     log.info('Listening.', {address: address.host, port: address.port});
@@ -171,6 +183,7 @@
     this.stopping.abort();
     this.links.stop();
     this.quarantine.stop();
+    this.requestLimits.stop();
     this.notices.close();
     this.connections.close();
     for (const probe of this.probeServers) probe.close();
@@ -249,6 +262,7 @@
       memory: new MemoryReservationManager(dialect, this.connections),
       notices: this.notices,
       quarantine: this.quarantine,
+      requestLimits: this.requestLimits,
       metrics: this.metrics,
       isDraining: () => this.readiness.draining,
     };
@@ -260,6 +274,7 @@
       configVersion: () => this.config.version,
       configAgeS: () => this.config.ageMs / MS_PER_SECOND,
       quarantinedParts: () => this.quarantine.size,
+      limitedBackends: () => this.requestLimits.size,
       controlHosts: () => this.links.hosts().length,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
       backends: () =>
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -10,6 +10,8 @@
   configAgeS(): number;
   /** Prompt parts in quarantine. */
   quarantinedParts(): number;
+  /** Backend servers that name a request limit. */
+  limitedBackends(): number;
   /** Control hosts that respond. */
   controlHosts(): number;
   /** Entries of the record that no control host has acknowledged. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -3,6 +3,7 @@
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptOutcome} from '../request/attempt_outcome.js';
 import type {QuarantineEvent} from '../quarantine/quarantine_event.js';
+import type {PermitVerdict} from '../request_limits/permit_verdict.js';
 import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 
@@ -67,6 +68,12 @@
     labelNames: ['service', 'verdict'],
     registers: [this.registry],
   });
+  private readonly permits = new Counter({
+    name: 'vmux_gateway_permits_total',
+    help: 'Permits for backend servers with a request limit, by verdict.',
+    labelNames: ['verdict'],
+    registers: [this.registry],
+  });
   private readonly durations = this.createHistogram(
     'vmux_gateway_request_seconds',
     'Time from the head of a request to the end of its answer.',
@@ -103,6 +110,11 @@
         'Prompt parts in quarantine.',
         () => gauges.quarantinedParts(),
       ],
+      [
+        'vmux_gateway_limited_backends',
+        'Backend servers that name a request limit.',
+        () => gauges.limitedBackends(),
+      ],
       [
         'vmux_gateway_control_hosts',
         'Control hosts that answer.',
@@ -169,6 +181,11 @@
     this.retries.inc({service, verdict: isGranted ? 'granted' : 'denied'});
   }
 
+  /** Counts a permit that a request to a limited backend server required. */
+  countPermit(verdict: PermitVerdict): void {
+    this.permits.inc({verdict});
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
--- a/packages/limits/src/token_bucket.ts
+++ b/packages/limits/src/token_bucket.ts
@@ -6,6 +6,8 @@
 export interface TokenBucketOptions {
   readonly tokensPerSecond: number;
   readonly burstTokens: number;
+  /** Tokens at the start; a full bucket by default. */
+  readonly initialTokens?: number;
   readonly now?: () => number;
 }
 
@@ -19,9 +21,9 @@
   private updatedMs: number;
   private readonly now: () => number;
 
-  constructor(private readonly options: TokenBucketOptions) {
+  constructor(private options: TokenBucketOptions) {
     this.now = options.now ?? monotonicMs;
-    this.availableTokens = options.burstTokens;
+    this.availableTokens = options.initialTokens ?? options.burstTokens;
     this.updatedMs = this.now();
   }
 
@@ -39,6 +41,15 @@
     );
   }
 
+  /** Changes the rate; tokens above the new burst are lost. */
+  reconfigure(
+    rate: Pick<TokenBucketOptions, 'tokensPerSecond' | 'burstTokens'>,
+  ): void {
+    this.refill();
+    this.options = {...this.options, ...rate};
+    this.availableTokens = Math.min(this.availableTokens, rate.burstTokens);
+  }
+
   /** Returns the tokens of a request that was refused after acquiring them. */
   refund(tokens: number): void {
     this.availableTokens = Math.min(
