--- a/packages/gateway/__tests__/peer_roster.test.ts
+++ b/packages/gateway/__tests__/peer_roster.test.ts
@@ -41,6 +41,14 @@
     ],
     count: 6,
   },
+  {
+    name: 'a minute without a response',
+    contacts: [
+      {controlHost: 'a', peers: peers(6), atMs: 0},
+      {controlHost: 'b', peers: peers(0), atMs: 60_000},
+    ],
+    count: 6,
+  },
   {
     name: 'the timeout of a control host with a longer list',
     contacts: [
--- a/packages/gateway/src/peers/peer_roster.ts
+++ b/packages/gateway/src/peers/peer_roster.ts
@@ -11,10 +11,12 @@
 /**
  * Tracks the entry hosts of the deployment. Each control host lists the entry
  * hosts that poll it. A control host that has just started lists few, so the
- * longest of the recent lists is used.
+ * longest of the recent lists is used. While no control host responds, the last
+ * one stays: a host that assumed that it were alone would use up what all share.
  */
 export class PeerRoster {
   private readonly lists = new Map<string, PeerList>();
+  private lastKnown: readonly EntryPeer[] = [];
 
   /** Handles a response of a control host; no `peers` means no change. */
   update(
@@ -25,6 +27,7 @@
     const list = this.lists.get(controlHost);
     if (list) list.receivedMs = nowMs;
     if (!peers) return;
+    if (peers.length > 0) this.lastKnown = peers;
     this.lists.set(controlHost, {peers, receivedMs: nowMs});
   }
 
@@ -35,6 +38,6 @@
       if (nowMs - receivedMs > LIST_TTL_MS) this.lists.delete(controlHost);
       else if (peers.length > longest.length) longest = peers;
     }
-    return longest;
+    return longest.length > 0 ? longest : this.lastKnown;
   }
 }
