fix(gateway): a host that does not know its peers yet takes no retry allowance

It now starts with the part that grows with its own requests. The new row of shared_retry_budget.test.ts states the share.

--- a/packages/gateway/__tests__/shared_retry_budget.test.ts
+++ b/packages/gateway/__tests__/shared_retry_budget.test.ts
@@ -16,6 +16,7 @@
     {hosts: 5, requests: 0, most: 20},
     {hosts: 5, requests: 100, most: 40},
     {hosts: 50, requests: 10, most: 4},
+    {hosts: Infinity, requests: 100, most: 20},
   ];
   for (const {hosts, requests, most} of CASES) {
     it(`allows its share of ${hosts} hosts' limit after ${requests} requests`, () => {
--- a/packages/gateway/src/request/shared_retry_budget.ts
+++ b/packages/gateway/src/request/shared_retry_budget.ts
@@ -18,9 +18,15 @@
  */
 export class SharedRetryBudget {
   private readonly windows = new Map<string, Window>();
-  private hostCount = 1;
 
-  constructor(private readonly limits: RetryLimits) {}
+  /**
+   * `hostCount` is the number of entry hosts that share the limits; with
+   * `Infinity`, the host has no share of the fixed allowance yet.
+   */
+  constructor(
+    private readonly limits: RetryLimits,
+    private hostCount = 1,
+  ) {}
 
   /** Sets the number of entry hosts that share the limits. */
   setHostCount(hostCount: number): void {
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -102,10 +102,10 @@
     const {settings, dialect} = options;
     this.config = new ConfigStore(dialect);
     this.readiness = new Readiness(this.config);
-    this.retryBudget = new SharedRetryBudget({
-      ...settings.retries,
-      windowMs: settings.retries.windowS * MS_PER_SECOND,
-    });
+    const {retries} = settings;
+    const windowMs = retries.windowS * MS_PER_SECOND;
+    // The number of hosts that share the allowance is not known yet.
+    this.retryBudget = new SharedRetryBudget({...retries, windowMs}, Infinity);
     this.links = new ControlLinks({
       entry: {
         id: settings.id,
@@ -221,7 +221,7 @@
     this.roster.update(contact.from, contact.peers, nowMs);
     const peers = this.roster.current(nowMs);
     this.notices.replacePeers(peers);
-    this.retryBudget.setHostCount(peers.length);
+    if (peers.length > 0) this.retryBudget.setHostCount(peers.length);
   }
 
   /** Waits until no request is in flight, at most until `endMs`. */
