--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -7,6 +7,7 @@
 import {AbortReason} from './abort_reason.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
+import {RequestFingerprint} from './request_fingerprint.js';
 import {RequestRunner} from './request_runner.js';
 import {responseClosed} from './response_closed.js';
 import {sendErrorResponse, type ErrorResponse} from './send_error_response.js';
@@ -111,6 +112,12 @@
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
       body: body.value,
+      fingerprint: new RequestFingerprint({
+        method: req.method ?? 'GET',
+        path: req.url ?? '/',
+        workspace: workspace?.name,
+        body: body.value,
+      }),
       configVersion: table.config.version,
       startedMs,
       deadlineMs: startedMs + timeoutMs,
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -96,6 +96,7 @@
       ageMs: this.ageMs(),
       progressAgeMs:
         firstProgressMs && Math.round(monotonicMs() - firstProgressMs),
+      requestDigest: this.request.fingerprint.digest,
       sharedParts: sharedParts?.join(),
     });
   }
