fix(gateway): a request that crashes its backend servers is quarantined

Cause: an end was tied to prompt parts only; a request without a prompt was not watched, and its end neither confirmed nor told to other hosts.

Change: the ledger and the quarantine keep suspects of two kinds, prompt parts and requests (a digest of method, path, workspace and body). Three ends under a request, none of them answered since, put it in quarantine on all entry hosts. - Between equals the request is blamed, not the parts of its prompt; a part needs ends of two requests.

In crash_ledger.test.ts explain() is replaced by the quarantined suspects that findCulprits takes; the case and all others are kept.

--- a/packages/gateway/__tests__/crash_ledger.test.ts
+++ b/packages/gateway/__tests__/crash_ledger.test.ts
@@ -1,11 +1,15 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {requestSuspect} from '../src/quarantine/request_suspect.js';
 import {CrashLedger} from '../src/quarantine/crash_ledger.js';
 
 interface Step {
   /** Backend server that ended; without one, the parts were answered. */
   readonly ended?: string;
-  readonly parts: readonly string[];
+  readonly parts?: readonly string[];
+  /** Request that it was answering; without one, a host did not tell. */
+  readonly request?: string;
+  readonly service?: string;
   readonly atMs?: number;
 }
 
@@ -13,6 +17,8 @@
   readonly name: string;
   readonly steps: readonly Step[];
   readonly culprit?: string;
+  readonly otherCulprits?: readonly string[];
+  readonly quarantined?: string;
   readonly atMs?: number;
 }
 
@@ -65,19 +71,125 @@
   },
 ];
 
+const R1 = requestSuspect('1');
+const R2 = requestSuspect('2');
+
+/** Ends of the backend servers `e1`, `e2`, … under the requests given for each. */
+function createRequestEnds(
+  ...requests: ReadonlyArray<readonly string[]>
+): Step[] {
+  return requests.flatMap((together, index) =>
+    together.map(request => ({ended: `e${index}`, request})),
+  );
+}
+
+const REQUEST_CASES: readonly Case[] = [
+  {name: 'two ends under a request', steps: createRequestEnds([R1], [R1])},
+  {
+    name: 'three ends under a request',
+    steps: createRequestEnds([R1], [R1], [R1]),
+    culprit: R1,
+  },
+  {
+    name: 'three ends under a request beside others',
+    steps: createRequestEnds([R1, 'a'], [R1, R2], [R1, 'b']),
+    culprit: R1,
+  },
+  {
+    name: 'two requests that were on all of three ends',
+    steps: createRequestEnds([R1, R2], [R1, R2], [R1, R2]),
+    culprit: R1,
+    otherCulprits: [R2],
+  },
+  {
+    name: 'a bystander of a request in quarantine',
+    steps: createRequestEnds([R1, R2], [R1, R2], [R1, R2]),
+    quarantined: R1,
+  },
+  {
+    name: 'a bystander that a host reports later',
+    steps: [
+      ...createRequestEnds([R1], [R1], [R1]),
+      ...createRequestEnds([R2], [R2], [R2]),
+    ],
+    quarantined: R1,
+  },
+  {
+    name: 'a request that was answered since',
+    steps: createRequestEnds([R1], [R1], [R1]).concat({parts: [R1], atMs: 1}),
+    atMs: 30_000,
+  },
+  {
+    name: 'a request on some of many servers that end',
+    steps: [
+      ...createRequestEnds([R1], [R1], [R1]),
+      ...Array.from({length: 12}, (_, index) => ({
+        ended: `other${index}`,
+        request: `r${index}`,
+      })),
+    ],
+  },
+  {
+    name: 'a request whose service has no other ends than those',
+    steps: [
+      ...createRequestEnds([R1], [R1], [R1]),
+      ...Array.from({length: 12}, (_, index) => ({
+        ended: `other${index}`,
+        request: `r${index}`,
+        service: 'engines',
+      })),
+    ],
+    culprit: R1,
+  },
+  {
+    name: 'one request rather than the parts of its prompt',
+    steps: ['e1', 'e2', 'e3'].map(ended => ({
+      ended,
+      request: R1,
+      parts: ['x'],
+    })),
+    culprit: R1,
+  },
+  {
+    name: 'the part of one request in quarantine',
+    steps: ['e1', 'e2', 'e3'].map(ended => ({
+      ended,
+      request: R1,
+      parts: ['x'],
+    })),
+    quarantined: R1,
+  },
+  {
+    name: 'the part that a second request has too',
+    steps: ['e1', 'e2', 'e3', 'e4'].map(ended => ({
+      ended,
+      request: ended === 'e4' ? R2 : R1,
+      parts: ['x'],
+    })),
+    culprit: 'x',
+  },
+];
+
 describe('CrashLedger', () => {
-  for (const {name, steps, culprit, atMs = 0} of CASES) {
+  for (const {
+    name,
+    steps,
+    culprit,
+    otherCulprits = [],
+    quarantined,
+    atMs = 0,
+  } of [...CASES, ...REQUEST_CASES]) {
     it(`${culprit ? `blames ${culprit}` : 'blames nothing'} for ${name}`, () => {
       const ledger = new CrashLedger();
-      for (const {ended, parts, atMs: stepMs = 0} of steps) {
+      for (const step of steps) {
+        const {ended, parts = [], request, service, atMs: stepMs = 0} = step;
+        const end = {incarnation: 1, parts: [...parts], request, service};
         if (ended === undefined) ledger.recordSound(parts, stepMs);
-        else
-          ledger.recordCrash(
-            {backend: ended, incarnation: 1, parts: [...parts]},
-            stepMs,
-          );
+        else ledger.recordCrash({backend: ended, ...end}, stepMs);
       }
-      assert.equal(ledger.findCulprit(atMs), culprit);
+      const found = ledger.findCulprits(atMs, id => id === quarantined);
+      const expected = culprit === undefined ? [] : [culprit, ...otherCulprits];
+      assert.deepEqual(found, expected);
     });
   }
 
@@ -85,7 +197,7 @@
     const ledger = new CrashLedger();
     for (const backend of ['e1', 'e2', 'e3'])
       ledger.recordCrash({backend, incarnation: 1, parts: ['f', 'x']}, 0);
-    ledger.explain('x');
-    assert.equal(ledger.findCulprit(0), undefined);
+    const isQuarantined = (suspect: string): boolean => suspect === 'x';
+    assert.deepEqual(ledger.findCulprits(0, isQuarantined), []);
   });
 });
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -19,6 +19,7 @@
     inFlight: () => 3,
     quarantinedParts: () => 1,
     limitedBackends: () => 1,
+    quarantinedRequests: () => 1,
     configVersion: () => 7,
     configAgeS: () => 1.5,
     controlHosts: () => 2,
@@ -52,6 +53,7 @@
 const LINES = [
   'vmux_gateway_permits_total{verdict="denied"} 1',
   'vmux_gateway_limited_backends 1',
+  'vmux_gateway_quarantined_requests 1',
   'vmux_gateway_requests_total{sort="stream",end="delivered"} 1',
   'vmux_gateway_requests_total{sort="idempotent",end="broken"} 1',
   'vmux_gateway_refusals_total{status="503"} 1',
--- a/packages/gateway/__tests__/part_quarantine.test.ts
+++ b/packages/gateway/__tests__/suspect_quarantine.test.ts
@@ -1,13 +1,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {PartQuarantine} from '../src/quarantine/part_quarantine.js';
+import {SuspectQuarantine} from '../src/quarantine/suspect_quarantine.js';
 
 const FIRST_QUARANTINE_MS = 60_000;
-const PART = 'x';
+const SUSPECT = 'x';
 
 function createFact(generation: number, isLifted: boolean) {
   return {
-    part: PART,
+    suspect: SUSPECT,
     generation,
     isLifted,
     remainingMs: FIRST_QUARANTINE_MS,
@@ -22,27 +22,35 @@
   {known: createFact(2, false), heard: createFact(1, false), isKept: true},
 ];
 
-describe('PartQuarantine', () => {
+describe('SuspectQuarantine', () => {
   it('lets one request through when a trial is due', () => {
-    const quarantine = new PartQuarantine();
-    quarantine.add(PART, 0);
-    assert.equal(quarantine.startTrial(PART, FIRST_QUARANTINE_MS - 1), false);
-    assert.equal(quarantine.startTrial(PART, FIRST_QUARANTINE_MS), true);
-    assert.equal(quarantine.startTrial(PART, FIRST_QUARANTINE_MS + 1), false);
+    const quarantine = new SuspectQuarantine();
+    quarantine.add(SUSPECT, 0);
+    assert.equal(
+      quarantine.startTrial(SUSPECT, FIRST_QUARANTINE_MS - 1),
+      false,
+    );
+    assert.equal(quarantine.startTrial(SUSPECT, FIRST_QUARANTINE_MS), true);
+    assert.equal(
+      quarantine.startTrial(SUSPECT, FIRST_QUARANTINE_MS + 1),
+      false,
+    );
   });
 
   it('waits twice as long after each trial that failed', () => {
-    const quarantine = new PartQuarantine();
-    const durations = [0, 0, 0].map(() => quarantine.add(PART, 0).remainingMs);
+    const quarantine = new SuspectQuarantine();
+    const durations = [0, 0, 0].map(
+      () => quarantine.add(SUSPECT, 0).remainingMs,
+    );
     assert.deepEqual(durations, [60_000, 120_000, 240_000]);
   });
 
   for (const {known, heard, isKept} of MERGE_CASES) {
     it(`${isKept ? 'keeps' : 'has no'} quarantine after ${JSON.stringify([known, heard])}`, () => {
-      const quarantine = new PartQuarantine();
+      const quarantine = new SuspectQuarantine();
       quarantine.merge(known, 0);
       quarantine.merge(heard, 0);
-      assert.equal(quarantine.has(PART), isKept);
+      assert.equal(quarantine.has(SUSPECT), isKept);
     });
   }
 
@@ -53,18 +61,18 @@
       createFact(2, false),
     ];
     const results = [facts, [...facts].reverse()].map(order => {
-      const quarantine = new PartQuarantine();
+      const quarantine = new SuspectQuarantine();
       for (const fact of order) quarantine.merge(fact, 0);
       return quarantine.facts(0, 8);
     });
     assert.deepEqual(results[0], results[1]);
   });
 
-  it('forgets a part some time after its quarantine, and is bounded', () => {
-    const quarantine = new PartQuarantine();
+  it('forgets a suspect some time after its quarantine, and is bounded', () => {
+    const quarantine = new SuspectQuarantine();
     for (let index = 0; index < 1_000; index++) quarantine.add(`p${index}`, 0);
-    assert.ok(quarantine.size <= 256);
+    assert.ok(quarantine.suspects.length <= 256);
     assert.deepEqual(quarantine.facts(24 * 3_600_000, 8), []);
-    assert.equal(quarantine.size, 0);
+    assert.deepEqual(quarantine.suspects, []);
   });
 });
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -144,7 +144,7 @@
     );
   }
 
-  /** Streams the notices of other hosts about prompt parts. */
+  /** Streams the notices of other hosts about ends of backend servers. */
   quarantineNotices(): Stream<QuarantineNotice> {
     return this.quarantineBus.stream();
   }
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -25,7 +25,7 @@
   placed: z.array(placedWorkSchema),
   /** Backend servers on which the work has ended. */
   ended: z.array(z.string()).default([]),
-  /** Ends of backend servers, and prompt parts that explain them. */
+  /** Ends of backend servers, and suspects that explain them. */
   quarantine: quarantineNoticeSchema.optional(),
   /** Request limits of backend servers, and permits for them. */
   limits: requestLimitNoticeSchema.optional(),
--- a/packages/gateway/src/quarantine/crash_ledger.ts
+++ b/packages/gateway/src/quarantine/crash_ledger.ts
@@ -1,95 +1,176 @@
 import type {CrashReport} from './crash_report.js';
+import {isRequestSuspect} from './is_request_suspect.js';
 
 /**
- * Backend servers that must have ended under a part. Fewer than the five ends
- * after which the platform counts further requests.
+ * Backend servers that must have ended under a suspect. The platform counts
+ * further requests after three ends under a request, five under a part.
  */
 const CRASHES_TO_QUARANTINE = 3;
+/**
+ * Share of a service's ends that a suspect must explain, from its first one on.
+ * Where many servers end for another reason, requests that were on some of them
+ * are no suspects; two requests that crash servers at the same time are.
+ */
+const MIN_EXPLAINED_SHARE = 0.25;
 /** Time for which the end of a backend server counts. */
 const CRASH_TTL_MS = 60_000;
 /**
- * Time for which a part counts as sound after a request with it was answered.
- * A part that becomes faulty is found this much later.
+ * Time for which a suspect counts as sound after a request with it was answered.
+ * One that becomes faulty is found this much later.
  */
 const SOUND_TTL_MS = 10_000;
-const MAX_CRASHES = 64;
-const MAX_SOUND_PARTS = 4_096;
+const MAX_CRASHES = 256;
+const MAX_ATTEMPTS_PER_CRASH = 64;
+const MAX_SOUND_SUSPECTS = 8_192;
 
 interface Crash {
+  /** Backend server and incarnation. */
+  readonly id: string;
   readonly atMs: number;
-  /** Position in the prompt by part. */
-  readonly positionByPart: Map<string, number>;
+  readonly service: string;
+  /** Distinct reports of the attempts that the backend server had begun. */
+  readonly attempts: Map<string, CrashReport>;
+}
+
+interface Evidence {
+  readonly crashes: Set<Crash>;
+  /** Requests that had the suspect; an unknown one is another at each end. */
+  readonly requests: Set<string>;
+  /** Position in the prompt; a request stands after all of its parts. */
+  position: number;
 }
 
 /**
- * Ties the ends of backend servers to the prompt parts of the requests that they
- * had begun to answer. A part that is among them each time, and with which no
- * request was answered, explains the ends.
+ * Ties the ends of backend servers to the requests that they had begun to
+ * answer, and to the prompt parts that such requests share. A suspect that is
+ * among them each time, and with which no request was answered, explains the
+ * ends.
  */
 export class CrashLedger {
   private readonly crashes = new Map<string, Crash>();
   private readonly soundMs = new Map<string, number>();
 
   /** Records that a backend server ended; reports of one end are merged. */
-  recordCrash({backend, incarnation, parts}: CrashReport, nowMs: number): void {
-    const key = `${backend}/${incarnation}`;
-    const crash = this.crashes.get(key) ?? {
+  recordCrash(report: CrashReport, nowMs: number): void {
+    const {backend, incarnation, service = '', request, parts} = report;
+    const id = `${backend}/${incarnation}`;
+    const crash = this.crashes.get(id) ?? {
+      id,
       atMs: nowMs,
-      positionByPart: new Map<string, number>(),
+      service,
+      attempts: new Map<string, CrashReport>(),
     };
-    parts.forEach((part, position) => crash.positionByPart.set(part, position));
-    this.crashes.set(key, crash);
+    crash.attempts.set(`${request ?? ''} ${parts.join()}`, report);
+    deleteOldest(crash.attempts, MAX_ATTEMPTS_PER_CRASH);
+    this.crashes.set(id, crash);
     deleteOldest(this.crashes, MAX_CRASHES);
   }
 
-  /** Records that a request with these parts was answered. */
-  recordSound(parts: readonly string[], nowMs: number): void {
-    for (const part of parts) {
+  /** Records that a request with these suspects was answered. */
+  recordSound(suspects: readonly string[], nowMs: number): void {
+    for (const suspect of suspects) {
       // Deleted first, so that the map stays in the order of time.
-      this.soundMs.delete(part);
-      this.soundMs.set(part, nowMs);
+      this.soundMs.delete(suspect);
+      this.soundMs.set(suspect, nowMs);
     }
-    deleteOldest(this.soundMs, MAX_SOUND_PARTS);
+    deleteOldest(this.soundMs, MAX_SOUND_SUSPECTS);
   }
 
-  /** Whether a request with the part was answered lately. */
-  isSound(part: string, nowMs: number): boolean {
-    const soundMs = this.soundMs.get(part) ?? Number.NEGATIVE_INFINITY;
-    return nowMs - soundMs < SOUND_TTL_MS;
+  /** Whether a request with the suspect was answered lately. */
+  isSound(suspect: string, nowMs: number): boolean {
+    return nowMs - this.lastSoundMs(suspect) < SOUND_TTL_MS;
   }
 
-  /** Whether a backend server has ended under the part. */
-  isSuspect(part: string): boolean {
-    return [...this.crashes.values()].some(({positionByPart}) =>
-      positionByPart.has(part),
+  /** Whether a backend server has ended under the suspect. */
+  isSuspect(suspect: string): boolean {
+    return [...this.crashes.values()].some(({attempts}) =>
+      [...attempts.values()].some(
+        ({request, parts}) => request === suspect || parts.includes(suspect),
+      ),
     );
   }
 
   /**
-   * Returns the part that explains most ends, if it explains enough. Between
-   * equals, the later one in the prompt is the more specific one.
+   * Returns the suspects that explain most ends, if they explain enough. Between
+   * equals, a request is more specific than the parts of its prompt, and a later
+   * part than an earlier one; requests that explain as much are all returned.
+   * Ends that a suspect in quarantine explains are no evidence against others.
    */
-  findCulprit(nowMs: number): string | undefined {
+  findCulprits(
+    nowMs: number,
+    isQuarantined: (suspect: string) => boolean,
+  ): string[] {
     this.deleteExpired(nowMs);
-    const candidates = new Map<string, {crashes: number; position: number}>();
-    for (const {positionByPart} of this.crashes.values()) {
-      for (const [part, position] of positionByPart) {
-        if (this.isSound(part, nowMs)) continue;
-        const crashes = (candidates.get(part)?.crashes ?? 0) + 1;
-        candidates.set(part, {crashes, position});
+    const evidence = this.collectEvidence(nowMs, isQuarantined);
+    const culprits = [...evidence.entries()].filter(([suspect, found]) =>
+      this.isEnough(suspect, found, nowMs, isQuarantined),
+    );
+    const most = Math.max(...culprits.map(([, {crashes}]) => crashes.size));
+    const top = culprits
+      .filter(([, {crashes}]) => crashes.size === most)
+      .sort(([, a], [, b]) => b.position - a.position)
+      .map(([suspect]) => suspect);
+    const requests = top.filter(isRequestSuspect);
+    return requests.length > 0 ? requests : top.slice(0, 1);
+  }
+
+  private collectEvidence(
+    nowMs: number,
+    isQuarantined: (suspect: string) => boolean,
+  ): Map<string, Evidence> {
+    const evidence = new Map<string, Evidence>();
+    for (const crash of this.crashes.values()) {
+      for (const attempt of findUnexplained(crash, isQuarantined)) {
+        const {request, parts} = attempt;
+        const suspects = request === undefined ? parts : [...parts, request];
+        suspects.forEach((suspect, position) => {
+          if (isQuarantined(suspect)) return;
+          if (this.isCleared(suspect, crash, nowMs)) return;
+          const found = evidence.get(suspect) ?? {
+            crashes: new Set<Crash>(),
+            requests: new Set<string>(),
+            position,
+          };
+          found.crashes.add(crash);
+          found.requests.add(request ?? crash.id);
+          found.position = position;
+          evidence.set(suspect, found);
+        });
       }
     }
-    const [culprit] = [...candidates.entries()]
-      .filter(([, {crashes}]) => crashes >= CRASHES_TO_QUARANTINE)
-      .sort(([, a], [, b]) => b.crashes - a.crashes || b.position - a.position);
-    return culprit?.[0];
+    return evidence;
   }
 
-  /** Deletes the ends that a part explains, so that no other is blamed. */
-  explain(part: string): void {
-    for (const [key, {positionByPart}] of this.crashes) {
-      if (positionByPart.has(part)) this.crashes.delete(key);
-    }
+  private isEnough(
+    suspect: string,
+    {crashes, requests}: Evidence,
+    nowMs: number,
+    isQuarantined: (suspect: string) => boolean,
+  ): boolean {
+    if (crashes.size < CRASHES_TO_QUARANTINE) return false;
+    // Ends under one request alone are evidence against no part of its prompt.
+    const [first] = requests;
+    const isOneRequest =
+      requests.size === 1 && !this.isSound(first ?? '', nowMs);
+    if (!isRequestSuspect(suspect) && isOneRequest) return false;
+    const services = new Set([...crashes].map(({service}) => service));
+    const firstMs = Math.min(...[...crashes].map(({atMs}) => atMs));
+    const ends = [...this.crashes.values()].filter(
+      crash =>
+        services.has(crash.service) &&
+        crash.atMs >= firstMs &&
+        (crashes.has(crash) || !isExplained(crash, isQuarantined)),
+    );
+    return crashes.size >= MIN_EXPLAINED_SHARE * ends.length;
+  }
+
+  /** Whether the suspect was answered lately, or since the end. */
+  private isCleared(suspect: string, {atMs}: Crash, nowMs: number): boolean {
+    return this.lastSoundMs(suspect) > atMs || this.isSound(suspect, nowMs);
+  }
+
+  private lastSoundMs(suspect: string): number {
+    return this.soundMs.get(suspect) ?? Number.NEGATIVE_INFINITY;
   }
 
   private deleteExpired(nowMs: number): void {
@@ -99,6 +180,34 @@
   }
 }
 
+/** Whether a suspect in quarantine was on the backend server when it ended. */
+function isExplained(
+  {attempts}: Crash,
+  isQuarantined: (suspect: string) => boolean,
+): boolean {
+  return [...attempts.values()].some(
+    ({request, parts}) =>
+      parts.some(isQuarantined) ||
+      (request !== undefined && isQuarantined(request)),
+  );
+}
+
+/**
+ * Returns the attempts that may have caused an end. A part in quarantine
+ * explains it for all of them; a request in quarantine for the other ones.
+ */
+function findUnexplained(
+  {attempts}: Crash,
+  isQuarantined: (suspect: string) => boolean,
+): CrashReport[] {
+  const all = [...attempts.values()];
+  if (all.some(({parts}) => parts.some(isQuarantined))) return [];
+  const known = all.filter(
+    ({request}) => request !== undefined && isQuarantined(request),
+  );
+  return known.length > 0 ? known : all;
+}
+
 function deleteOldest<V>(map: Map<string, V>, limit: number): void {
   for (const key of map.keys()) {
     if (map.size <= limit) return;
--- a/packages/gateway/src/quarantine/crash_report.ts
+++ b/packages/gateway/src/quarantine/crash_report.ts
@@ -1,7 +1,11 @@
-/** A backend server that ended, and the prompt parts under which it may have. */
+/** A backend server that ended, and what it was answering when it did. */
 export interface CrashReport {
   readonly backend: string;
   readonly incarnation: number;
-  /** Shared parts of a prompt that it had begun to answer, in order. */
+  /** Service of the backend server; absent in reports of older hosts. */
+  readonly service?: string;
+  /** The request, as a suspect; absent in reports of older hosts. */
+  readonly request?: string;
+  /** Shared parts of its prompt, in order. */
   readonly parts: string[];
 }
--- a/packages/gateway/src/quarantine/quarantine_manager.ts
+++ b/packages/gateway/src/quarantine/quarantine_manager.ts
@@ -5,22 +5,23 @@
 import {confirmEnd} from './confirm_end.js';
 import {CrashLedger} from './crash_ledger.js';
 import type {CrashReport} from './crash_report.js';
-import {PartQuarantine} from './part_quarantine.js';
+import {isRequestSuspect} from './is_request_suspect.js';
+import {SuspectQuarantine} from './suspect_quarantine.js';
 import {QuarantineEvent} from './quarantine_event.js';
 import type {QuarantineFact} from './quarantine_fact.js';
 import type {QuarantineNotice} from './quarantine_notice.js';
 import type {WatchedAttempt} from './watched_attempt.js';
 
 /**
- * Time after its first event at which an attempt shows that its parts are sound.
- * Several scheduling iterations of an engine.
+ * Time after its first event at which an attempt shows that its suspects are
+ * sound. Several scheduling iterations of an engine.
  */
 const SOUND_AFTER_MS = 500;
-/** Time for peers to report that a suspect part is sound. */
+/** Time for peers to report that a suspect is sound. */
 const SETTLE_MS = 100;
 /** Longest random delay of such a report; one that arrives first replaces it. */
 const MAX_SOUND_REPORT_DELAY_MS = 50;
-/** Interval between reports of one part as sound. */
+/** Interval between reports of one suspect as sound. */
 const SOUND_REPORT_INTERVAL_MS = 1_000;
 /** Interval at which known facts are sent to some peers again. */
 const SYNC_INTERVAL_MS = 1_000;
@@ -50,12 +51,13 @@
 
 /**
  * Keeps requests away from backend servers that would end under them. Ends of
- * backend servers are tied to the parts that their requests share; a part that
- * explains them is quarantined on all entry hosts, and tried again later by one.
+ * backend servers are tied to the requests that they were answering and to the
+ * prompt parts that these share; a suspect that explains the ends is quarantined
+ * on all entry hosts, and tried again later by one.
  */
 export class QuarantineManager {
   private readonly ledger = new CrashLedger();
-  private readonly quarantine = new PartQuarantine();
+  private readonly quarantine = new SuspectQuarantine();
   private readonly watched = new Set<WatchedAttempt>();
   private readonly confirmations = new Map<string, Promise<boolean>>();
   private readonly soundReportedMs = new Map<string, number>();
@@ -79,46 +81,54 @@
     clearTimeout(this.settleTimer);
   }
 
-  /** Number of parts in quarantine. */
-  get size(): number {
-    return this.quarantine.size;
+  /** Number of requests in quarantine. */
+  get requestCount(): number {
+    return this.quarantine.suspects.filter(isRequestSuspect).length;
+  }
+
+  /** Number of prompt parts in quarantine. */
+  get partCount(): number {
+    return this.quarantine.suspects.length - this.requestCount;
   }
 
   /**
-   * Returns why a request with these parts must not run. A request that may run
-   * as a trial passes.
+   * Returns why a request with these suspects must not run. A request that may
+   * run as a trial passes.
    */
   check(
     requestId: string,
-    parts: readonly string[],
+    suspects: readonly string[],
   ): QuarantineRefusal | undefined {
     const nowMs = monotonicMs();
-    const part = parts.find(id => this.quarantine.has(id));
-    if (part === undefined) return undefined;
+    const suspect = suspects.find(id => this.quarantine.has(id));
+    if (suspect === undefined) return undefined;
     const {id, hostIds} = this.options;
-    const isOwner = chooseOwner(part, [...new Set([id, ...hostIds()])]) === id;
-    if (isOwner && this.quarantine.startTrial(part, nowMs)) {
+    const isOwner =
+      chooseOwner(suspect, [...new Set([id, ...hostIds()])]) === id;
+    if (isOwner && this.quarantine.startTrial(suspect, nowMs)) {
       this.count(QuarantineEvent.Trial);
-      log.info('Trying a quarantined prompt part.', {
+      log.info('Trying a quarantined request or prompt part.', {
         request: requestId,
-        promptPart: part,
+        suspect,
       });
       return undefined;
     }
     this.count(QuarantineEvent.Refused);
-    const remainingMs = this.quarantine.remainingMs(part, nowMs);
+    const remainingMs = this.quarantine.remainingMs(suspect, nowMs);
     return {
-      reason: `backend servers end under part ${part} of the prompt`,
+      reason: isRequestSuspect(suspect)
+        ? 'backend servers end under this request'
+        : `backend servers end under part ${suspect} of the prompt`,
       retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(remainingMs)),
     };
   }
 
   /** Watches an attempt until `end` is called for it. */
   watch(
-    attempt: Pick<WatchedAttempt, 'requestId' | 'backend' | 'parts' | 'abort'>,
+    attempt: Omit<WatchedAttempt, 'firstProgressMs' | 'isSound'>,
   ): WatchedAttempt {
     const watchedAttempt: WatchedAttempt = {...attempt, isSound: false};
-    if (attempt.parts.length > 0) this.watched.add(watchedAttempt);
+    this.watched.add(watchedAttempt);
     return watchedAttempt;
   }
 
@@ -132,14 +142,14 @@
 
   /** Records that an attempt was answered completely. */
   recordSound(attempt: WatchedAttempt): void {
-    if (attempt.isSound || attempt.parts.length === 0) return;
+    if (attempt.isSound) return;
     attempt.isSound = true;
-    const nowMs = monotonicMs();
-    this.ledger.recordSound(attempt.parts, nowMs);
-    for (const part of attempt.parts) {
-      if (this.quarantine.has(part)) this.lift(part, attempt.requestId);
+    const suspects = [...attempt.parts, attempt.request];
+    this.ledger.recordSound(suspects, monotonicMs());
+    for (const suspect of suspects) {
+      if (this.quarantine.has(suspect)) this.lift(suspect, attempt.requestId);
     }
-    this.reportSound(attempt.parts);
+    this.reportSound(suspects);
   }
 
   /**
@@ -148,19 +158,25 @@
    */
   async end(attempt: WatchedAttempt, isDisconnected: boolean): Promise<void> {
     this.watched.delete(attempt);
-    if (!isDisconnected || attempt.isSound || attempt.parts.length === 0)
-      return;
-    const {backend, parts, requestId} = attempt;
+    if (!isDisconnected || attempt.isSound) return;
+    const {backend, request, parts, requestId} = attempt;
     if (!(await this.confirm(attempt))) return;
-    const {id, incarnation} = backend.presence;
+    const {id, incarnation, service} = backend.presence;
     this.count(QuarantineEvent.BackendEnded);
     log.info('A backend server ended under a request.', {
       request: requestId,
       backend: id,
       incarnation,
+      suspect: request,
       sharedParts: parts.join(),
     });
-    const crash: CrashReport = {backend: id, incarnation, parts: [...parts]};
+    const crash: CrashReport = {
+      backend: id,
+      incarnation,
+      service,
+      request,
+      parts: [...parts],
+    };
     this.recordCrash(crash);
     this.options.notices.broadcastFacts({quarantine: {crash}});
   }
@@ -182,95 +198,95 @@
   private receive({crash, sound = [], facts = []}: QuarantineNotice): void {
     const nowMs = monotonicMs();
     this.ledger.recordSound(sound, nowMs);
-    for (const part of sound) this.soundReportedMs.set(part, nowMs);
+    for (const suspect of sound) this.soundReportedMs.set(suspect, nowMs);
     for (const fact of facts) {
       if (this.quarantine.merge(fact, nowMs)) this.applyFact(fact, 'peer');
     }
     if (!crash) return;
     this.recordCrash(crash);
     setTimeout(
-      () => this.reportSound(crash.parts),
+      () => this.reportSound(listSuspects(crash)),
       Math.random() * MAX_SOUND_REPORT_DELAY_MS,
     );
   }
 
   private recordCrash(crash: CrashReport): void {
     const nowMs = monotonicMs();
-    const known = crash.parts.find(part => this.quarantine.has(part));
-    if (known === undefined) {
-      this.ledger.recordCrash(crash, nowMs);
-      this.settleTimer ??= setTimeout(() => this.settle(), SETTLE_MS);
-    } else if (this.quarantine.isTrialDue(known, nowMs)) {
-      this.add(known);
-    }
+    this.ledger.recordCrash(crash, nowMs);
+    const failedTrials = listSuspects(crash).filter(suspect =>
+      this.quarantine.isTrialDue(suspect, nowMs),
+    );
+    for (const suspect of failedTrials) this.add(suspect);
+    this.settleTimer ??= setTimeout(() => this.settle(), SETTLE_MS);
   }
 
-  /** Quarantines the part that explains the ends of backend servers, if any. */
+  /** Quarantines what explains the ends of backend servers, if anything does. */
   private settle(): void {
     this.settleTimer = undefined;
-    const culprit = this.ledger.findCulprit(monotonicMs());
-    if (culprit !== undefined) this.add(culprit);
+    const culprits = this.ledger.findCulprits(monotonicMs(), suspect =>
+      this.quarantine.has(suspect),
+    );
+    for (const suspect of culprits) this.add(suspect);
   }
 
-  private add(part: string): void {
-    const fact = this.quarantine.add(part, monotonicMs());
+  private add(suspect: string): void {
+    const fact = this.quarantine.add(suspect, monotonicMs());
     this.applyFact(fact, 'own');
     this.options.notices.broadcastFacts({quarantine: {facts: [fact]}});
   }
 
-  private lift(part: string, requestId: string): void {
-    const fact = this.quarantine.lift(part, monotonicMs());
-    log.info('A request with a quarantined prompt part was answered.', {
+  private lift(suspect: string, requestId: string): void {
+    const fact = this.quarantine.lift(suspect, monotonicMs());
+    log.info('A quarantined request or prompt part was answered.', {
       request: requestId,
-      promptPart: part,
+      suspect,
     });
     this.applyFact(fact, 'own');
     this.options.notices.broadcastFacts({quarantine: {facts: [fact]}});
   }
 
   private applyFact(
-    {part, generation, isLifted, remainingMs}: QuarantineFact,
+    {suspect, generation, isLifted, remainingMs}: QuarantineFact,
     source: 'own' | 'peer',
   ): void {
     if (isLifted) {
       this.count(QuarantineEvent.Lifted);
-      this.ledger.recordSound([part], monotonicMs());
-      log.info('Lifted the quarantine of a prompt part.', {
-        promptPart: part,
+      this.ledger.recordSound([suspect], monotonicMs());
+      log.info('Lifted the quarantine of a request or prompt part.', {
+        suspect,
         source,
       });
       return;
     }
     this.count(QuarantineEvent.Quarantined);
-    this.ledger.explain(part);
-    log.warn('Quarantined a prompt part under which backend servers end.', {
-      promptPart: part,
-      generation,
-      source,
-      remainingMs,
-    });
+    log.warn(
+      'Quarantined a request or prompt part under which backend servers end.',
+      {suspect, generation, source, remainingMs},
+    );
     for (const attempt of this.watched) {
-      const hasBegun = attempt.firstProgressMs !== undefined;
-      if (!hasBegun && attempt.parts.includes(part)) attempt.abort();
+      const {request, parts, firstProgressMs} = attempt;
+      const hasSuspect = request === suspect || parts.includes(suspect);
+      if (hasSuspect && firstProgressMs === undefined) attempt.abort();
     }
   }
 
-  /** Tells peers which suspect parts were answered lately, once in a while. */
-  private reportSound(parts: readonly string[]): void {
+  /** Tells peers which suspects were answered lately, once in a while. */
+  private reportSound(suspects: readonly string[]): void {
     const nowMs = monotonicMs();
-    const sound = parts.filter(
-      part =>
-        this.ledger.isSuspect(part) &&
-        this.ledger.isSound(part, nowMs) &&
-        nowMs - (this.soundReportedMs.get(part) ?? Number.NEGATIVE_INFINITY) >=
+    const sound = suspects.filter(
+      suspect =>
+        this.ledger.isSuspect(suspect) &&
+        this.ledger.isSound(suspect, nowMs) &&
+        nowMs -
+          (this.soundReportedMs.get(suspect) ?? Number.NEGATIVE_INFINITY) >=
           SOUND_REPORT_INTERVAL_MS,
     );
-    for (const [part, reportedMs] of this.soundReportedMs) {
+    for (const [suspect, reportedMs] of this.soundReportedMs) {
       if (nowMs - reportedMs >= SOUND_REPORT_INTERVAL_MS)
-        this.soundReportedMs.delete(part);
+        this.soundReportedMs.delete(suspect);
     }
     if (sound.length === 0) return;
-    for (const part of sound) this.soundReportedMs.set(part, nowMs);
+    for (const suspect of sound) this.soundReportedMs.set(suspect, nowMs);
     this.options.notices.broadcastFacts({quarantine: {sound}});
   }
 
@@ -284,3 +300,7 @@
     this.options.metrics.countQuarantineEvent(event);
   }
 }
+
+function listSuspects({request, parts}: CrashReport): string[] {
+  return request === undefined ? parts : [...parts, request];
+}
--- a/packages/gateway/src/quarantine/part_quarantine.ts
+++ b/packages/gateway/src/quarantine/suspect_quarantine.ts
@@ -1,13 +1,13 @@
 import type {QuarantineFact} from './quarantine_fact.js';
 
-/** Duration of a part's first quarantine; doubles with each further one. */
+/** Duration of a suspect's first quarantine; doubles with each further one. */
 const BASE_QUARANTINE_MS = 60_000;
 const MAX_QUARANTINE_MS = 3_600_000;
 /** Time after which a trial that has not ended may be followed by another. */
 const TRIAL_TIMEOUT_MS = 15_000;
 /**
- * Time after a quarantine, or after it was lifted, at which the part is
- * forgotten. Longer than a fact takes to reach every host.
+ * Time after a quarantine, or after it was lifted, at which the suspect
+ * is forgotten. Longer than a fact takes to reach every host.
  */
 const FORGET_DELAY_MS = 600_000;
 const MAX_ENTRIES = 256;
@@ -21,57 +21,58 @@
 }
 
 /**
- * Prompt parts that crash backend servers. Requests with such a part are refused
- * until a trial is due: one request of one host is let through. Facts of other
- * hosts are merged; the newer generation wins, and in it the lifted state.
+ * Requests and prompt parts that crash backend servers. Such a request, or one
+ * with such a part, is refused until a trial is due: one of one host is let
+ * through. Facts of other hosts are merged; the newer generation wins, and in it
+ * the lifted state.
  */
-export class PartQuarantine {
+export class SuspectQuarantine {
   private readonly entries = new Map<string, Entry>();
 
-  /** Number of parts in quarantine. */
-  get size(): number {
-    return [...this.entries.values()].filter(({isLifted}) => !isLifted).length;
+  /** Suspects in quarantine. */
+  get suspects(): string[] {
+    return [...this.entries.keys()].filter(suspect => this.has(suspect));
   }
 
-  /** Whether the part is in quarantine. */
-  has(part: string): boolean {
-    return this.entries.get(part)?.isLifted === false;
+  /** Whether the suspect is in quarantine. */
+  has(suspect: string): boolean {
+    return this.entries.get(suspect)?.isLifted === false;
   }
 
-  /** Whether a trial of the part is due or in progress. */
-  isTrialDue(part: string, nowMs: number): boolean {
-    return this.has(part) && this.entries.get(part)!.untilMs <= nowMs;
+  /** Whether a trial of the suspect is due or in progress. */
+  isTrialDue(suspect: string, nowMs: number): boolean {
+    return this.has(suspect) && this.entries.get(suspect)!.untilMs <= nowMs;
   }
 
-  /** Time until a trial of the part is due; 0 once it is. */
-  remainingMs(part: string, nowMs: number): number {
-    return Math.max(0, (this.entries.get(part)?.untilMs ?? 0) - nowMs);
+  /** Time until a trial of the suspect is due; 0 once it is. */
+  remainingMs(suspect: string, nowMs: number): number {
+    return Math.max(0, (this.entries.get(suspect)?.untilMs ?? 0) - nowMs);
   }
 
-  /** Starts the part's next quarantine. */
-  add(part: string, nowMs: number): QuarantineFact {
-    const generation = (this.entries.get(part)?.generation ?? 0) + 1;
+  /** Starts the suspect's next quarantine. */
+  add(suspect: string, nowMs: number): QuarantineFact {
+    const generation = (this.entries.get(suspect)?.generation ?? 0) + 1;
     const remainingMs = Math.min(
       BASE_QUARANTINE_MS * 2 ** (generation - 1),
       MAX_QUARANTINE_MS,
     );
-    const fact = {part, generation, isLifted: false, remainingMs};
+    const fact = {suspect, generation, isLifted: false, remainingMs};
     this.store(fact, nowMs);
     return fact;
   }
 
-  /** Ends the part's quarantine, as a request with it was answered. */
-  lift(part: string, nowMs: number): QuarantineFact {
-    const generation = this.entries.get(part)?.generation ?? 0;
-    const fact = {part, generation, isLifted: true, remainingMs: 0};
+  /** Ends the quarantine of a suspect that was answered. */
+  lift(suspect: string, nowMs: number): QuarantineFact {
+    const generation = this.entries.get(suspect)?.generation ?? 0;
+    const fact = {suspect, generation, isLifted: true, remainingMs: 0};
     this.store(fact, nowMs);
     return fact;
   }
 
   /** Starts a trial unless one is in progress. Returns whether it did. */
-  startTrial(part: string, nowMs: number): boolean {
-    const entry = this.entries.get(part);
-    if (!entry || !this.isTrialDue(part, nowMs)) return false;
+  startTrial(suspect: string, nowMs: number): boolean {
+    const entry = this.entries.get(suspect);
+    if (!entry || !this.isTrialDue(suspect, nowMs)) return false;
     const {trialStartedMs = Number.NEGATIVE_INFINITY} = entry;
     if (nowMs - trialStartedMs < TRIAL_TIMEOUT_MS) return false;
     entry.trialStartedMs = nowMs;
@@ -80,7 +81,7 @@
 
   /** Merges a fact of another host. Returns whether it was news. */
   merge(fact: QuarantineFact, nowMs: number): boolean {
-    const known = this.entries.get(fact.part);
+    const known = this.entries.get(fact.suspect);
     const isNews =
       !known ||
       fact.generation > known.generation ||
@@ -97,8 +98,8 @@
     return [...this.entries.entries()]
       .reverse()
       .slice(0, limit)
-      .map(([part, {generation, isLifted, untilMs}]) => ({
-        part,
+      .map(([suspect, {generation, isLifted, untilMs}]) => ({
+        suspect,
         generation,
         isLifted,
         remainingMs: isLifted ? 0 : Math.max(0, Math.round(untilMs - nowMs)),
@@ -106,10 +107,10 @@
   }
 
   private store(fact: QuarantineFact, nowMs: number): void {
-    const {part, generation, isLifted} = fact;
+    const {suspect, generation, isLifted} = fact;
     const remainingMs = Math.min(fact.remainingMs, MAX_QUARANTINE_MS);
-    this.entries.delete(part);
-    this.entries.set(part, {
+    this.entries.delete(suspect);
+    this.entries.set(suspect, {
       generation,
       isLifted,
       untilMs: nowMs + remainingMs,
@@ -121,8 +122,8 @@
   }
 
   private deleteExpired(nowMs: number): void {
-    for (const [part, {untilMs}] of this.entries) {
-      if (nowMs - untilMs > FORGET_DELAY_MS) this.entries.delete(part);
+    for (const [suspect, {untilMs}] of this.entries) {
+      if (nowMs - untilMs > FORGET_DELAY_MS) this.entries.delete(suspect);
     }
   }
 }
--- a/packages/gateway/src/request/abort_reason.ts
+++ b/packages/gateway/src/request/abort_reason.ts
@@ -2,7 +2,7 @@
 export enum AbortReason {
   ClientDisconnected = 'client_left',
   DeadlineExceeded = 'deadline_passed',
-  /** A part of the prompt crashes backend servers. */
+  /** The request, or a part of its prompt, crashes backend servers. */
   Quarantined = 'quarantined',
   /** Another attempt made progress first; the request goes on. */
   Superseded = 'superseded',
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -3,6 +3,7 @@
 import type {Backend} from '../fleet/backend.js';
 import type {MemoryReservation} from '../memory/memory_reservation.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
+import {requestSuspect} from '../quarantine/request_suspect.js';
 import {AbortReason} from './abort_reason.js';
 import {ResponseWriter} from './response_writer.js';
 import type {AttemptOptions} from './attempt.js';
@@ -129,7 +130,10 @@
     while (!signal.aborted) {
       if (!this.mayStartAttempt) return 'no further attempt is allowed';
       const {requestId, sharedParts = []} = this.request.metadata;
-      const refusal = this.components.quarantine.check(requestId, sharedParts);
+      const refusal = this.components.quarantine.check(requestId, [
+        this.suspect,
+        ...sharedParts,
+      ]);
       if (refusal) {
         this.retryAfterMs = refusal.retryAfterMs;
         return refusal.reason;
@@ -366,6 +370,7 @@
     const watched = quarantine.watch({
       requestId,
       backend: decision.backend,
+      request: this.suspect,
       parts: sharedParts,
       abort: () => controller.abort(AbortReason.Quarantined),
     });
@@ -402,6 +407,11 @@
     return result;
   }
 
+  /** The request, as a suspect of ends of backend servers. */
+  private get suspect(): string {
+    return requestSuspect(this.request.fingerprint.digest);
+  }
+
   /** Attempts that a backend server may have run or may be running. */
   private get possibleRuns(): number {
     return this.endedRuns + this.running.sentCount;
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -8,6 +8,8 @@
   configVersion(): number;
   /** Seconds since the configuration was applied; 0 before the first. */
   configAgeS(): number;
+  /** Requests in quarantine. */
+  quarantinedRequests(): number;
   /** Prompt parts in quarantine. */
   quarantinedParts(): number;
   /** Backend servers that name a request limit. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -58,7 +58,7 @@
   });
   private readonly quarantineEvents = new Counter({
     name: 'vmux_gateway_quarantine_events_total',
-    help: 'Events of the quarantine of prompt parts that crash backend servers.',
+    help: 'Events of the quarantine of requests and prompt parts that crash backend servers.',
     labelNames: ['event'],
     registers: [this.registry],
   });
@@ -110,6 +110,11 @@
         'Prompt parts in quarantine.',
         () => gauges.quarantinedParts(),
       ],
+      [
+        'vmux_gateway_quarantined_requests',
+        'Requests in quarantine.',
+        () => gauges.quarantinedRequests(),
+      ],
       [
         'vmux_gateway_limited_backends',
         'Backend servers that name a request limit.',
@@ -166,7 +171,7 @@
     this.failedAttempts.inc({service, end});
   }
 
-  /** Counts an event of the quarantine of prompt parts. */
+  /** Counts an event of the quarantine of suspects. */
   countQuarantineEvent(event: QuarantineEvent): void {
     this.quarantineEvents.inc({event});
   }
