fix(gateway): a client that leaves while a permit is awaited gets no attempt

Found by reading: the wait for a permit is the only one between placement and launch in which the client may leave. The new test of request_runner.test.ts fails without the check.

--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -158,4 +158,62 @@
     await run;
     assert.ok(retryBudget.acquire('notes', monotonicMs()));
   });
+
+  it('sends nothing after the client has left while it waited for a permit', async () => {
+    const [backend] = createBackends(1);
+    const permit = new Deferred<boolean>();
+    const disconnection = new AbortController();
+    let sent = 0;
+    const components = {
+      retryBudget: {countRequest: () => {}, acquire: () => true},
+      backends: {
+        candidates: () => [backend],
+        reachability: {isUnreachable: () => false},
+      },
+      placements: {
+        for: () => ({
+          place: () => ({backend, helpers: [], memory: [], work: []}),
+        }),
+      },
+      notices: {tell: () => {}, tellEnd: () => {}},
+      requestLimits: {
+        waitMs: () => 0,
+        isLimited: () => true,
+        acquire: () => permit.promise,
+      },
+      quarantine: {
+        check: () => undefined,
+        watch: () => ({}),
+        end: async () => {},
+      },
+      requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
+      metrics: {observeRequest: () => {}, countAttempt: () => {}},
+      dialect: {writeRequest: () => [], writeResponse: () => ({})},
+      connections: {
+        poolFor: () => ({
+          send: () => {
+            sent++;
+            return createSilentExchange();
+          },
+        }),
+      },
+      isDraining: () => false,
+    } as unknown as GatewayComponents;
+    const run = new RequestRunner(components, {
+      req: {rawHeaders: [], method: 'POST', url: '/'},
+      res: {},
+      metadata: {requestId: 'r', promptTokens: 100},
+      route: createRoute({}),
+      service: {name: 'notes'},
+      body: Buffer.alloc(0),
+      fingerprint: {digest: 'd'},
+      startedMs: monotonicMs(),
+      deadlineMs: monotonicMs() + TIMEOUT_MS,
+      signal: disconnection.signal,
+    } as unknown as ClientRequest).run();
+    disconnection.abort();
+    permit.resolve(true);
+    await run;
+    assert.equal(sent, 0);
+  });
 });
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -143,8 +143,8 @@
         const limited = this.limitedEngines(decision);
         if (limited.length > 0) {
           const isPermitted = await this.acquirePermits(limited);
-          // Another attempt may have made progress in the meantime.
-          if (!this.running.areAllSilent) return undefined;
+          // The client may have left, or another attempt made progress.
+          if (signal.aborted || !this.running.areAllSilent) return undefined;
           if (!isPermitted) continue;
         }
         const isBudgeted = this.possibleArrivals > 0;
