--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -10,6 +10,7 @@
 import type {ResponseHead} from '../src/connection/response_head.js';
 import type {Exchange} from '../src/connection/exchange.js';
 import {ExchangeError} from '../src/connection/exchange_error.js';
+import type {Backend} from '../src/fleet/backend.js';
 import type {ClientRequest} from '../src/request/client_request.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestRunner} from '../src/request/request_runner.js';
@@ -31,19 +32,77 @@
   };
 }
 
-// Work that is entered in the ledgers only after an await is invisible to other
-// requests of the same turn, which then choose the same engine.
+/** Components whose backend servers do not respond. */
+function createComponents(
+  backends: readonly Backend[],
+  overrides: object,
+): GatewayComponents {
+  const components = {
+    retryBudget: {countRequest: () => {}, acquire: () => true},
+    backends: {
+      candidates: () => backends,
+      reachability: {isUnreachable: () => false},
+    },
+    placements: {
+      for: () => ({
+        place: ({candidates}: {candidates: readonly Backend[]}) => ({
+          backend: candidates[0],
+          helpers: [],
+          memory: [],
+          work: [],
+        }),
+      }),
+    },
+    memory: {reserve: async () => []},
+    notices: {tell: () => {}, tellEnd: () => {}},
+    requestLimits: {waitMs: () => 0, isLimited: () => false},
+    quarantine: {
+      check: () => undefined,
+      watch: () => ({}),
+      end: async () => {},
+    },
+    requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
+    metrics: {
+      observeRequest: () => {},
+      countAttempt: () => {},
+      countFailedAttempt: () => {},
+      countRetry: () => {},
+      countSilentAttempt: () => {},
+    },
+    dialect: {writeRequest: () => [], writeResponse: () => ({})},
+    connections: {poolFor: () => ({send: createSilentExchange})},
+    isDraining: () => false,
+  };
+  return {...components, ...overrides} as unknown as GatewayComponents;
+}
+
+function createRequest(
+  signal: AbortSignal,
+  route: Parameters<typeof createRoute>[0],
+  requestId = 'r',
+): ClientRequest {
+  return {
+    req: {rawHeaders: [], method: 'POST', url: '/'},
+    res: {},
+    metadata: {requestId, promptTokens: 100},
+    route: createRoute(route),
+    service: {name: 'notes'},
+    body: Buffer.alloc(0),
+    fingerprint: {digest: 'd'},
+    startedMs: monotonicMs(),
+    deadlineMs: monotonicMs() + TIMEOUT_MS,
+    signal,
+  } as unknown as ClientRequest;
+}
+
 describe('RequestRunner', () => {
+  // Work that is entered in the ledgers only after an await is invisible to
+  // other requests of the same turn, which then choose the same engine.
   it('enters the work of a placement before the next decision', async () => {
     const [backend] = createBackends(1);
     const seen: number[] = [];
     const disconnection = new AbortController();
-    const components = {
-      retryBudget: {countRequest: () => {}, acquire: () => true},
-      backends: {
-        candidates: () => [backend],
-        reachability: {isUnreachable: () => false},
-      },
+    const components = createComponents([backend!], {
       placements: {
         for: () => ({
           place: () => {
@@ -53,41 +112,11 @@
           },
         }),
       },
-      memory: {reserve: async () => []},
-      notices: {tell: () => {}, tellEnd: () => {}},
-      requestLimits: {waitMs: () => 0, isLimited: () => false, learn: () => {}},
-      quarantine: {
-        check: () => undefined,
-        watch: () => ({}),
-        end: async () => {},
-      },
-      requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
-      metrics: {
-        observeRequest: () => {},
-        countAttempt: () => {},
-        countRetry: () => {},
-      },
-      dialect: {writeRequest: () => [], writeResponse: () => ({})},
-      connections: {poolFor: () => ({send: createSilentExchange})},
-      isDraining: () => false,
-    } as unknown as GatewayComponents;
-    const request = {
-      req: {rawHeaders: [], method: 'POST', url: '/'},
-      res: {},
-      metadata: {requestId: 'r', promptTokens: 100},
-      route: createRoute({isStream: true}),
-      service: {name: 'notes'},
-      body: Buffer.alloc(0),
-      fingerprint: {digest: 'd'},
-      startedMs: monotonicMs(),
-      deadlineMs: monotonicMs() + TIMEOUT_MS,
-      signal: disconnection.signal,
-    } as unknown as ClientRequest;
+    });
     for (let number = 0; number < REQUESTS; number++) {
-      void new RequestRunner(components, {
-        ...request,
-        metadata: {...request.metadata, requestId: `r${number}`},
-      }).run();
+      const {signal} = disconnection;
+      const request = createRequest(signal, {isStream: true}, `r${number}`);
+      void new RequestRunner(components, request).run();
     }
     await sleep(0);
     disconnection.abort();
@@ -100,12 +129,8 @@
     const retryBudget = new SharedRetryBudget(limits);
     let reservations = 0;
     const memory = [{backend: backends[0], tokens: 1}];
-    const components = {
+    const components = createComponents(backends, {
       retryBudget,
-      backends: {
-        candidates: () => backends,
-        reachability: {isUnreachable: () => false},
-      },
       placements: {
         for: () => ({
           place: ({candidates}: {candidates: typeof backends}) => ({
@@ -118,39 +143,11 @@
       },
       // Only the first attempt gets the memory that it needs.
       memory: {reserve: async () => (reservations++ === 0 ? [] : undefined)},
-      notices: {tell: () => {}, tellEnd: () => {}},
-      requestLimits: {waitMs: () => 0, isLimited: () => false, learn: () => {}},
-      quarantine: {
-        check: () => undefined,
-        watch: () => ({}),
-        end: async () => {},
-      },
-      requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
-      metrics: {
-        observeRequest: () => {},
-        countAttempt: () => {},
-        countFailedAttempt: () => {},
-        countRetry: () => {},
-        countSilentAttempt: () => {},
-      },
-      dialect: {writeRequest: () => [], writeResponse: () => ({})},
-      connections: {poolFor: () => ({send: createSilentExchange})},
-      isDraining: () => false,
-    } as unknown as GatewayComponents;
+    });
     const disconnection = new AbortController();
     const fields = {isStream: true, isResumable: true, latencyGoalMs: 1};
-    const run = new RequestRunner(components, {
-      req: {rawHeaders: [], method: 'POST', url: '/'},
-      res: {},
-      metadata: {requestId: 'r', promptTokens: 100},
-      route: createRoute(fields),
-      service: {name: 'notes'},
-      body: Buffer.alloc(0),
-      fingerprint: {digest: 'd'},
-      startedMs: monotonicMs(),
-      deadlineMs: monotonicMs() + TIMEOUT_MS,
-      signal: disconnection.signal,
-    } as unknown as ClientRequest).run();
+    const request = createRequest(disconnection.signal, fields);
+    const run = new RequestRunner(components, request).run();
     for (let poll = 0; poll < MAX_POLLS && reservations < REQUESTS; poll++)
       await sleep(POLL_MS);
     await sleep(POLL_MS);
@@ -160,35 +157,15 @@
   });
 
   it('sends nothing after the client has left while it waited for a permit', async () => {
-    const [backend] = createBackends(1);
     const permit = new Deferred<boolean>();
     const disconnection = new AbortController();
     let sent = 0;
-    const components = {
-      retryBudget: {countRequest: () => {}, acquire: () => true},
-      backends: {
-        candidates: () => [backend],
-        reachability: {isUnreachable: () => false},
-      },
-      placements: {
-        for: () => ({
-          place: () => ({backend, helpers: [], memory: [], work: []}),
-        }),
-      },
-      notices: {tell: () => {}, tellEnd: () => {}},
+    const components = createComponents(createBackends(1), {
       requestLimits: {
         waitMs: () => 0,
         isLimited: () => true,
         acquire: () => permit.promise,
       },
-      quarantine: {
-        check: () => undefined,
-        watch: () => ({}),
-        end: async () => {},
-      },
-      requestRecorder: {recordAdmission: () => {}, recordOutcome: () => {}},
-      metrics: {observeRequest: () => {}, countAttempt: () => {}},
-      dialect: {writeRequest: () => [], writeResponse: () => ({})},
       connections: {
         poolFor: () => ({
           send: () => {
@@ -197,20 +174,9 @@
           },
         }),
       },
-      isDraining: () => false,
-    } as unknown as GatewayComponents;
-    const run = new RequestRunner(components, {
-      req: {rawHeaders: [], method: 'POST', url: '/'},
-      res: {},
-      metadata: {requestId: 'r', promptTokens: 100},
-      route: createRoute({}),
-      service: {name: 'notes'},
-      body: Buffer.alloc(0),
-      fingerprint: {digest: 'd'},
-      startedMs: monotonicMs(),
-      deadlineMs: monotonicMs() + TIMEOUT_MS,
-      signal: disconnection.signal,
-    } as unknown as ClientRequest).run();
+    });
+    const request = createRequest(disconnection.signal, {});
+    const run = new RequestRunner(components, request).run();
     disconnection.abort();
     permit.resolve(true);
     await run;
