refactor(gateway): candidates of a request, ends and notices in files of their own

RequestRunner keeps the order of attempts; RequestCandidates says which backend servers the next one may use.

--- a/packages/gateway/__tests__/fact_sync.test.ts
+++ b/packages/gateway/__tests__/fact_sync.test.ts
@@ -4,10 +4,8 @@
 import {EventBus, type Address} from '@vanillamux/shared';
 import {FactSync} from '../src/peers/fact_sync.js';
 import type {PeerFacts} from '../src/peers/peer_facts.js';
-import type {
-  PeerNotices,
-  ReceivedSyncNotice,
-} from '../src/peers/peer_notices.js';
+import type {PeerNotices} from '../src/peers/peer_notices.js';
+import type {ReceivedSyncNotice} from '../src/peers/received_sync_notice.js';
 import {SyncKind} from '../src/peers/sync_kind.js';
 
 const PEER = {host: 'a', port: 1};
--- a/packages/gateway/__tests__/request_limit_manager.test.ts
+++ b/packages/gateway/__tests__/request_limit_manager.test.ts
@@ -4,10 +4,8 @@
 import {EventBus, monotonicMs, sleep, type Address} from '@vanillamux/shared';
 import {BackendPool} from '../src/fleet/backend_pool.js';
 import type {PeerFacts} from '../src/peers/peer_facts.js';
-import type {
-  PeerNotices,
-  ReceivedLimitNotice,
-} from '../src/peers/peer_notices.js';
+import type {PeerNotices} from '../src/peers/peer_notices.js';
+import type {ReceivedLimitNotice} from '../src/peers/received_limit_notice.js';
 import {RequestLimitManager} from '../src/request_limits/request_limit_manager.js';
 import {createPresence} from './create_backend.js';
 
--- a/packages/gateway/src/peers/fact_sync.ts
+++ b/packages/gateway/src/peers/fact_sync.ts
@@ -38,7 +38,7 @@
  */
 export class FactSync {
   private synced = new Deferred<void>();
-  private syncedFlag = false;
+  private hasSynced = false;
   private hasPeers = false;
   private requestedMs = 0;
   private lastTickAt = Date.now();
@@ -65,7 +65,7 @@
 
   /** Whether the host has had the chance to learn what its peers know. */
   get isSynced(): boolean {
-    return this.syncedFlag;
+    return this.hasSynced;
   }
 
   /** Waits until `isSynced`, at most `MAX_REQUEST_WAIT_MS`. */
@@ -98,8 +98,8 @@
 
   /** Asks peers for what they know; requests wait for the first reply. */
   private request(): void {
-    if (this.syncedFlag) this.synced = new Deferred<void>();
-    this.syncedFlag = false;
+    if (this.hasSynced) this.synced = new Deferred<void>();
+    this.hasSynced = false;
     this.requestedMs = monotonicMs();
     this.options.notices.sendFacts({sync: SyncKind.Request}, SYNC_RECEIVERS);
     this.finishAfter(REPLY_TIMEOUT_MS);
@@ -129,8 +129,8 @@
 
   private finish(reason: string): void {
     clearTimeout(this.timeout);
-    if (this.syncedFlag) return;
-    this.syncedFlag = true;
+    if (this.hasSynced) return;
+    this.hasSynced = true;
     this.synced.resolve();
     log.info('Learned what the other entry hosts know.', {
       reason,
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -16,12 +16,12 @@
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
-import type {RequestLimitNotice} from '../request_limits/request_limit_notice.js';
 import {chooseReceivers, type Receiver} from './choose_receivers.js';
 import type {PlacementNotice} from './placement_notice.js';
 import type {PeerFacts} from './peer_facts.js';
 import {placementNoticeSchema} from './placement_notice_schema.js';
-import type {SyncKind} from './sync_kind.js';
+import type {ReceivedLimitNotice} from './received_limit_notice.js';
+import type {ReceivedSyncNotice} from './received_sync_notice.js';
 
 const log = getLogger('peers');
 
@@ -33,18 +33,6 @@
   readonly backends: BackendPool;
 }
 
-/** Notice about request limits, and the address of the host that sent it. */
-export interface ReceivedLimitNotice {
-  readonly replyTo: Address;
-  readonly notice: RequestLimitNotice;
-}
-
-/** Notice of a host that catches up with its peers, or of a peer's reply. */
-export interface ReceivedSyncNotice {
-  readonly replyTo: Address;
-  readonly kind: SyncKind;
-}
-
 /**
  * Broadcasts the work that this entry host places, so that several hosts do not
  * choose the same engines within a few milliseconds. Notices are hints: they
--- a/packages/gateway/src/quarantine/crash_ledger.ts
+++ b/packages/gateway/src/quarantine/crash_ledger.ts
@@ -1,5 +1,8 @@
+import type {AgedCrashReport} from './aged_crash_report.js';
+import type {Crash} from './crash.js';
 import type {CrashReport} from './crash_report.js';
 import {isRequestSuspect} from './is_request_suspect.js';
+import {listSuspects} from './list_suspects.js';
 
 /**
  * Backend servers that must have ended under a suspect. The platform counts
@@ -23,18 +26,6 @@
 const MAX_ATTEMPTS_PER_CRASH = 64;
 const MAX_SOUND_SUSPECTS = 8_192;
 
-/** Report of an end, and the milliseconds since then. */
-export type AgedCrashReport = CrashReport & {readonly ageMs: number};
-
-interface Crash {
-  /** Backend server and incarnation. */
-  readonly id: string;
-  readonly atMs: number;
-  readonly service: string;
-  /** Distinct reports of the attempts that the backend server had begun. */
-  readonly attempts: Map<string, CrashReport>;
-}
-
 interface Evidence {
   readonly crashes: Set<Crash>;
   /** Requests that had the suspect; an unknown one is another at each end. */
@@ -108,8 +99,8 @@
   /** Whether a backend server has ended under the suspect. */
   isSuspect(suspect: string): boolean {
     return [...this.crashes.values()].some(({attempts}) =>
-      [...attempts.values()].some(
-        ({request, parts}) => request === suspect || parts.includes(suspect),
+      [...attempts.values()].some(attempt =>
+        listSuspects(attempt).includes(suspect),
       ),
     );
   }
@@ -145,9 +136,7 @@
     const evidence = new Map<string, Evidence>();
     for (const crash of this.crashes.values()) {
       for (const attempt of findUnexplained(crash, isQuarantined)) {
-        const {request, parts} = attempt;
-        const suspects = request === undefined ? parts : [...parts, request];
-        suspects.forEach((suspect, position) => {
+        listSuspects(attempt).forEach((suspect, position) => {
           if (isQuarantined(suspect)) return;
           if (this.isCleared(suspect, crash, nowMs)) return;
           const found = evidence.get(suspect) ?? {
@@ -156,7 +145,7 @@
             position,
           };
           found.crashes.add(crash);
-          found.requests.add(request ?? crash.id);
+          found.requests.add(attempt.request ?? crash.id);
           found.position = position;
           evidence.set(suspect, found);
         });
@@ -209,10 +198,8 @@
   {attempts}: Crash,
   isQuarantined: (suspect: string) => boolean,
 ): boolean {
-  return [...attempts.values()].some(
-    ({request, parts}) =>
-      parts.some(isQuarantined) ||
-      (request !== undefined && isQuarantined(request)),
+  return [...attempts.values()].some(attempt =>
+    listSuspects(attempt).some(isQuarantined),
   );
 }
 
--- a/packages/gateway/src/quarantine/quarantine_manager.ts
+++ b/packages/gateway/src/quarantine/quarantine_manager.ts
@@ -10,6 +10,7 @@
 import {isRequestSuspect} from './is_request_suspect.js';
 import {SuspectQuarantine} from './suspect_quarantine.js';
 import {QuarantineEvent} from './quarantine_event.js';
+import {listSuspects} from './list_suspects.js';
 import type {QuarantineFact} from './quarantine_fact.js';
 import type {QuarantineNotice} from './quarantine_notice.js';
 import type {WatchedAttempt} from './watched_attempt.js';
@@ -304,7 +305,3 @@
     this.options.metrics.countQuarantineEvent(event);
   }
 }
-
-function listSuspects({request, parts}: CrashReport): string[] {
-  return request === undefined ? parts : [...parts, request];
-}
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -1,6 +1,5 @@
 import {monotonicMs, RunState, sleep} from '@vanillamux/shared';
 import {isRetryable} from '../config/is_retryable.js';
-import type {Backend} from '../fleet/backend.js';
 import type {MemoryReservation} from '../memory/memory_reservation.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {requestSuspect} from '../quarantine/request_suspect.js';
@@ -15,6 +14,7 @@
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {PlacementClaim} from './placement_claim.js';
+import {RequestCandidates} from './request_candidates.js';
 import {RequestReporter} from './request_reporter.js';
 import type {RunningAttempt} from './running_attempt.js';
 import {RunningAttempts, type EndedAttempt} from './running_attempts.js';
@@ -28,8 +28,6 @@
 const STATUS_GATEWAY_TIMEOUT = 504;
 /** Attempts that did not run, after which no further one is made. */
 const MAX_REJECTIONS = 4;
-/** Denied permits after which backend servers with a limit are left out. */
-const MAX_DENIED_PERMITS = 3;
 /** Delay before a retry after an exchange in which the request did not run. */
 const RETRY_DELAY_MS = 30;
 /** Interval at which a request checks for the first backend server. */
@@ -49,7 +47,7 @@
   private readonly writer: ResponseWriter;
   private readonly progress: StreamProgress;
   private readonly reporter: RequestReporter;
-  private readonly attemptedBackends = new Set<Backend>();
+  private readonly candidates: RequestCandidates;
   private readonly running = new RunningAttempts();
   private attempts = 0;
   /** Attempts that have ended and that a backend server may have run. */
@@ -58,8 +56,6 @@
   private endedArrivals = 0;
   /** Attempts that certainly did not run. */
   private rejections = 0;
-  /** Placements that were given up for want of a permit. */
-  private deniedPermits = 0;
   /** Retry-After of a response to a request that did not run. */
   private retryAfterMs = RETRY_AFTER_MS;
   private failureResponse?: AttemptResult['failureResponse'];
@@ -71,6 +67,11 @@
     this.writer = new ResponseWriter(request.res, components.isDraining);
     this.progress = {lastEventId: request.metadata.lastEventId, events: 0};
     this.reporter = new RequestReporter(components, request, this.progress);
+    this.candidates = new RequestCandidates({
+      components,
+      service: request.service.name,
+      requestId: request.metadata.requestId,
+    });
   }
 
   /**
@@ -140,9 +141,9 @@
       }
       const decision = this.place();
       if (decision) {
-        const limited = this.limitedEngines(decision);
+        const limited = this.candidates.limitedEngines(decision);
         if (limited.length > 0) {
-          const isPermitted = await this.acquirePermits(limited);
+          const isPermitted = await this.candidates.acquirePermits(limited);
           // The client may have left, or another attempt made progress.
           if (signal.aborted || !this.running.areAllSilent) return undefined;
           if (!isPermitted) continue;
@@ -153,14 +154,14 @@
         this.launch(decision, isBudgeted);
         return undefined;
       }
-      const limitWaitMs = this.limitWaitMs();
+      const limitWaitMs = this.candidates.limitWaitMs(monotonicMs());
       if (limitWaitMs !== undefined) {
         this.retryAfterMs = Math.max(RETRY_AFTER_MS, Math.ceil(limitWaitMs));
         return 'every backend server has reached its request limit';
       }
       const isWaiting = this.running.size === 0 && this.mayWaitForBackend;
       if (!isWaiting) {
-        return this.attemptedBackends.size > 0
+        return this.candidates.hasAttempted
           ? 'every backend server has refused'
           : 'no backend server can take the request';
       }
@@ -192,16 +193,7 @@
     const {request, components} = this;
     const {service, route, metadata} = request;
     const nowMs = monotonicMs();
-    const permitted = this.unattempted().filter(backend =>
-      this.mayBePermitted(backend, nowMs),
-    );
-    const {reachability: reach} = components.backends;
-    const available = permitted.filter(
-      ({failures, presence}) =>
-        !failures.isEjected(nowMs) &&
-        !reach.isUnreachable(presence.failureDomain, nowMs),
-    );
-    const candidates = available.length > 0 ? available : permitted;
+    const candidates = this.candidates.list(nowMs);
     if (candidates.length === 0) return undefined;
     return components.placements.for(service).place({
       service,
@@ -213,56 +205,6 @@
     });
   }
 
-  /** Backend servers of the service that no attempt has used. */
-  private unattempted(): Backend[] {
-    return this.components.backends
-      .candidates(this.request.service.name)
-      .filter(backend => !this.attemptedBackends.has(backend));
-  }
-
-  /** Whether the backend server has no request limit, or may have a permit. */
-  private mayBePermitted(backend: Backend, nowMs: number): boolean {
-    const {requestLimits} = this.components;
-    return this.deniedPermits < MAX_DENIED_PERMITS
-      ? requestLimits.waitMs(backend, nowMs) === 0
-      : !requestLimits.isLimited(backend);
-  }
-
-  /**
-   * Time until one of the backend servers that are left may have a permit;
-   * `undefined` unless their request limits alone keep the request from them.
-   */
-  private limitWaitMs(): number | undefined {
-    const nowMs = monotonicMs();
-    const left = this.unattempted();
-    const isHeldByLimits =
-      left.length > 0 &&
-      !left.some(backend => this.mayBePermitted(backend, nowMs));
-    if (!isHeldByLimits) return undefined;
-    const {requestLimits} = this.components;
-    return Math.min(...left.map(other => requestLimits.waitMs(other, nowMs)));
-  }
-
-  /** Engines of a decision that require a permit, helpers among them. */
-  private limitedEngines(decision: PlacementDecision): Backend[] {
-    const {backend, helpers, memory} = decision;
-    const engines = new Set([
-      backend,
-      ...helpers,
-      ...memory.map(share => share.backend),
-    ]);
-    const {requestLimits} = this.components;
-    return [...engines].filter(engine => requestLimits.isLimited(engine));
-  }
-
-  private async acquirePermits(engines: readonly Backend[]): Promise<boolean> {
-    const {requestId} = this.request.metadata;
-    const {requestLimits} = this.components;
-    const isGranted = await requestLimits.acquire(requestId, engines);
-    if (!isGranted) this.deniedPermits++;
-    return isGranted;
-  }
-
   /** Whether the service may still get its first backend server in time. */
   private get mayWaitForBackend(): boolean {
     const {service, route, startedMs} = this.request;
@@ -294,7 +236,7 @@
   private launch(decision: PlacementDecision, isBudgeted: boolean): void {
     if (this.running.size > 0) this.reporter.countReplacement();
     this.attempts++;
-    this.attemptedBackends.add(decision.backend);
+    this.candidates.exclude(decision.backend);
     this.reporter.reportAttempt(decision);
     const attempt: RunningAttempt = {
       number: this.attempts,
@@ -332,8 +274,8 @@
     if (attempt.wasSent) this.endedArrivals++;
     else if (attempt.isBudgeted) this.refundRetry();
     if (result.faultyHelper) {
-      this.attemptedBackends.add(result.faultyHelper);
-      this.attemptedBackends.delete(decision.backend);
+      this.candidates.exclude(result.faultyHelper);
+      this.candidates.include(decision.backend);
     }
     const wasRejected =
       result.outcome === AttemptOutcome.NotSent ||
