fix(gateway): the trial of a request waits for those of its prompt's parts

Found by reading: a request in quarantine whose trial was due was let through although a part of its prompt was in quarantine longer.

--- a/packages/gateway/src/quarantine/quarantine_manager.ts
+++ b/packages/gateway/src/quarantine/quarantine_manager.ts
@@ -103,27 +103,19 @@
     suspects: readonly string[],
   ): QuarantineRefusal | undefined {
     const nowMs = monotonicMs();
-    const suspect = suspects.find(id => this.quarantine.has(id));
-    if (suspect === undefined) return undefined;
-    const {id, hostIds} = this.options;
-    const isOwner =
-      chooseOwner(suspect, [...new Set([id, ...hostIds()])]) === id;
-    if (isOwner && this.quarantine.startTrial(suspect, nowMs)) {
+    const held = suspects.filter(suspect => this.quarantine.has(suspect));
+    if (held.length === 0) return undefined;
+    const blocking = held.find(suspect => !this.mayTry(suspect, nowMs));
+    if (blocking !== undefined) return this.refuse(blocking, nowMs);
+    for (const suspect of held) {
+      this.quarantine.startTrial(suspect, nowMs);
       this.count(QuarantineEvent.Trial);
       log.info('Trying a quarantined request or prompt part.', {
         request: requestId,
         suspect,
       });
-      return undefined;
     }
-    this.count(QuarantineEvent.Refused);
-    const remainingMs = this.quarantine.remainingMs(suspect, nowMs);
-    return {
-      reason: isRequestSuspect(suspect)
-        ? 'backend servers end under this request'
-        : `backend servers end under part ${suspect} of the prompt`,
-      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(remainingMs)),
-    };
+    return undefined;
   }
 
   /** Watches an attempt until `end` is called for it. */
@@ -186,6 +178,27 @@
     });
   }
 
+  /** Whether this host may try a suspect in quarantine now. */
+  private mayTry(suspect: string, nowMs: number): boolean {
+    const {id, hostIds} = this.options;
+    const hosts = [...new Set([id, ...hostIds()])];
+    return (
+      chooseOwner(suspect, hosts) === id &&
+      this.quarantine.mayStartTrial(suspect, nowMs)
+    );
+  }
+
+  private refuse(suspect: string, nowMs: number): QuarantineRefusal {
+    this.count(QuarantineEvent.Refused);
+    const remainingMs = this.quarantine.remainingMs(suspect, nowMs);
+    return {
+      reason: isRequestSuspect(suspect)
+        ? 'backend servers end under this request'
+        : `backend servers end under part ${suspect} of the prompt`,
+      retryAfterMs: Math.max(MIN_RETRY_AFTER_MS, Math.ceil(remainingMs)),
+    };
+  }
+
   private confirm({backend}: WatchedAttempt): Promise<boolean> {
     const {id, incarnation, address} = backend.presence;
     const key = `${id}/${incarnation}`;
--- a/packages/gateway/src/quarantine/suspect_quarantine.ts
+++ b/packages/gateway/src/quarantine/suspect_quarantine.ts
@@ -70,12 +70,20 @@
     return fact;
   }
 
-  /** Starts a trial unless one is in progress. Returns whether it did. */
+  /** Whether a trial is due and none is in progress. */
+  mayStartTrial(suspect: string, nowMs: number): boolean {
+    const {trialStartedMs = Number.NEGATIVE_INFINITY} =
+      this.entries.get(suspect) ?? {};
+    return (
+      this.isTrialDue(suspect, nowMs) &&
+      nowMs - trialStartedMs >= TRIAL_TIMEOUT_MS
+    );
+  }
+
+  /** Starts a trial if it may start. Returns whether it did. */
   startTrial(suspect: string, nowMs: number): boolean {
     const entry = this.entries.get(suspect);
-    if (!entry || !this.isTrialDue(suspect, nowMs)) return false;
-    const {trialStartedMs = Number.NEGATIVE_INFINITY} = entry;
-    if (nowMs - trialStartedMs < TRIAL_TIMEOUT_MS) return false;
+    if (!entry || !this.mayStartTrial(suspect, nowMs)) return false;
     entry.trialStartedMs = nowMs;
     return true;
   }
