--- a/packages/gateway/__tests__/request_limit_manager.test.ts
+++ b/packages/gateway/__tests__/request_limit_manager.test.ts
@@ -15,6 +15,7 @@
 const OTHERS = IDS.filter(id => id !== OWNER);
 const LIMIT_PER_S = 4;
 const LOAD_MS = 2_000;
+const WAIT_LIMIT_MS = 5_000;
 const SEEDS = [1, 2, 3];
 
 interface Host {
@@ -82,7 +83,11 @@
   }
 
   async function waitUntil(check: () => boolean): Promise<void> {
-    while (!check()) await sleep(1);
+    const endMs = monotonicMs() + WAIT_LIMIT_MS;
+    while (!check()) {
+      assert.ok(monotonicMs() < endMs, 'the condition was not met in time');
+      await sleep(1);
+    }
   }
 
   async function createHosts(): Promise<Map<string, Host>> {
