feat(consensus): logs tell a stalled repair from a refused vote and a lost disk

Clients see nothing of it. New lines: what a member did not acknowledge (entries, characters), how far a learner is, why a vote is refused, and the identity and log that a host finds on its disk.

--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -1,4 +1,10 @@
-import {monotonicMs, Wakeup} from '@vanillamux/shared';
+import {
+  getLogger,
+  monotonicMs,
+  Wakeup,
+  type VmuxError,
+} from '@vanillamux/shared';
+import type {LogEntry} from './log_entry.js';
 import type {Member} from './member.js';
 import type {RaftState} from './raft_state.js';
 import type {RaftTiming} from './raft_timing.js';
@@ -9,6 +15,8 @@
 const SNAPSHOT_CHUNK_CHARACTERS = 512 * 1_024;
 const SNAPSHOT_TIMEOUT_FACTOR = 10;
 
+const log = getLogger('consensus');
+
 /** Dependencies of a `Replicator`, provided by its leader. */
 export interface ReplicatorOptions {
   readonly peer: Member;
@@ -75,6 +83,7 @@
     const previousIndex = this.nextIndex - 1;
     const previousTerm = state.log.termAt(previousIndex);
     if (previousTerm === undefined) return false;
+    const entries = state.log.slice(this.nextIndex, MAX_ENTRIES_PER_CALL);
     const result = await transport.append(
       this.peer,
       {
@@ -82,12 +91,16 @@
         leaderId: state.selfId,
         previousIndex,
         previousTerm,
-        entries: state.log.slice(this.nextIndex, MAX_ENTRIES_PER_CALL),
+        entries,
         commitIndex: state.commitIndex,
       },
       timing.callTimeoutMs,
     );
-    if (signal.aborted || !result.ok) return false;
+    if (signal.aborted) return false;
+    if (!result.ok) {
+      if (entries.length > 0) this.reportUnanswered(entries, result.error);
+      return false;
+    }
     const reply = result.value;
     if (!this.checkTerm(reply.term)) return false;
     this.lastContactMs = sentMs;
@@ -141,6 +154,19 @@
     return true;
   }
 
+  private reportUnanswered(
+    entries: readonly LogEntry[],
+    error: VmuxError,
+  ): void {
+    log.warn('A member did not acknowledge entries.', {
+      member: this.peer.id,
+      firstIndex: entries[0]?.index,
+      entries: entries.length,
+      characters: entries.reduce((sum, {data}) => sum + data.length, 0),
+      reason: error.message,
+    });
+  }
+
   /**
    * Steps down if the peer is in a later term. Returns whether the term of this
    * leader is still current.
--- a/packages/consensus/src/vote_handler.ts
+++ b/packages/consensus/src/vote_handler.ts
@@ -1,9 +1,11 @@
-import {monotonicMs} from '@vanillamux/shared';
+import {getLogger, monotonicMs} from '@vanillamux/shared';
 import type {VoteReply, VoteRequest} from './messages.js';
 import {RaftRole} from './raft_role.js';
 import type {RaftState} from './raft_state.js';
 import type {RaftTiming} from './raft_timing.js';
 
+const log = getLogger('consensus');
+
 /** Handles requests for votes and pre-votes. */
 export class VoteHandler {
   constructor(
@@ -16,6 +18,7 @@
     if (this.hasActiveLeader()) return this.createReply(false);
     if (request.term < state.term) return this.createReply(false);
     const isUpToDate = this.isLogUpToDate(request);
+    if (!isUpToDate || !state.isVoter) this.reportRefusal(request);
     if (request.preVote) {
       return {term: state.term, granted: isUpToDate && state.isVoter};
     }
@@ -51,6 +54,21 @@
     return lastIndex >= log.lastIndex;
   }
 
+  private reportRefusal(request: VoteRequest): void {
+    const {state} = this;
+    const {candidateId, term, preVote, lastIndex, lastTerm} = request;
+    log.info('Refused a vote.', {
+      candidate: candidateId,
+      term,
+      preVote,
+      candidateLastIndex: lastIndex,
+      candidateLastTerm: lastTerm,
+      lastIndex: state.log.lastIndex,
+      lastTerm: state.log.lastTerm,
+      isVoter: state.isVoter,
+    });
+  }
+
   private createReply(granted: boolean): VoteReply {
     return {term: this.state.term, granted};
   }
--- a/packages/control/src/control_host.ts
+++ b/packages/control/src/control_host.ts
@@ -85,6 +85,14 @@
       address: settings.advertise ?? settings.listen,
       role: MemberRole.Voter,
     };
+    const {log: raftLog, ballot} = recovered.value;
+    log.info('Opened the data folder.', {
+      member: self.id,
+      members: raftLog.membership().members.length,
+      baseIndex: raftLog.baseIndex,
+      lastIndex: raftLog.lastIndex,
+      term: ballot.term,
+    });
     return succeed(
       new ControlHost(settings, self, record.value, recovered.value),
     );
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -15,6 +15,8 @@
 const CHECK_INTERVAL_MS = 250;
 /** Time after which a join request that is not renewed is dropped. */
 const JOIN_REQUEST_TTL_MS = 5_000;
+/** Shortest time between two log lines on a learner that lags. */
+const LAG_REPORT_INTERVAL_MS = 1_000;
 /** Log entries that a learner may lag behind and still be promoted. */
 const MAX_CAUGHT_UP_LAG_ENTRIES = 64;
 /** Silence up to which a member counts as alive. */
@@ -47,6 +49,7 @@
  */
 export class MembershipManager {
   private readonly joinRequests = new Map<string, JoinRequest>();
+  private lagReportedMs = Number.NEGATIVE_INFINITY;
 
   constructor(private readonly host: ControlHost) {}
 
@@ -121,6 +124,7 @@
       );
       return;
     }
+    this.reportLaggingLearners();
     const removable = members.find(member => this.isRemovable(member));
     if (removable) {
       await this.changeMembers(
@@ -146,6 +150,23 @@
     return lastIndex - (status?.matchIndex ?? 0) <= MAX_CAUGHT_UP_LAG_ENTRIES;
   }
 
+  private reportLaggingLearners(): void {
+    const {members, lastIndex} = this.host.node.status();
+    const learners = members.filter(({role}) => role === MemberRole.Learner);
+    const nowMs = monotonicMs();
+    if (learners.length === 0) return;
+    if (nowMs - this.lagReportedMs < LAG_REPORT_INTERVAL_MS) return;
+    this.lagReportedMs = nowMs;
+    for (const {id, matchIndex, silentMs} of learners) {
+      log.info('A learner has not caught up.', {
+        member: id,
+        matchIndex,
+        lastIndex,
+        silentMs: Math.round(silentMs ?? 0),
+      });
+    }
+  }
+
   /** Whether a voter is silent and the group has more voters than it needs. */
   private isRemovable(member: Member): boolean {
     if (member.role !== MemberRole.Voter) return false;
