--- a/packages/consensus/__tests__/fake_network.ts
+++ b/packages/consensus/__tests__/fake_network.ts
@@ -1,6 +1,7 @@
 import {
   ErrorCodes,
   fail,
+  monotonicMs,
   sleep,
   succeed,
   VmuxError,
@@ -18,6 +19,9 @@
   type VoteRequest,
 } from '../src/index.js';
 
+/** Work that waits at a member before further messages are dropped. */
+const MAX_BACKLOG_MS = 200;
+
 /** Faults and delays that a `FakeNetwork` injects. */
 export interface NetworkConditions {
   /** Share of requests and of replies that are lost. */
@@ -25,6 +29,8 @@
   /** Share of requests that are delivered twice. */
   duplication: number;
   maxDelayMs: number;
+  /** Characters that a member receives and handles in a millisecond. */
+  charactersPerMs: number;
 }
 
 /** Network between the members of a test, which run in this process. */
@@ -33,7 +39,10 @@
     loss: 0,
     duplication: 0,
     maxDelayMs: 1,
+    charactersPerMs: Infinity,
   };
+  /** Time until which each member is busy with what it has received. */
+  private readonly busyUntilMs = new Map<string, number>();
   private readonly nodes = new Map<string, RaftNode>();
   private readonly isolatedIds = new Set<string>();
 
@@ -58,10 +67,50 @@
 
   transport(from: string): RaftTransport {
     return new FakeTransport((to, handle, timeoutMs) =>
-      this.call(from, to, handle, timeoutMs),
+      this.callWithin(from, to, handle, timeoutMs),
     );
   }
 
+  /** Fails a call that takes too long; the receiver handles it all the same. */
+  private async callWithin<T>(
+    from: string,
+    to: string,
+    {handle, characters}: FakeRequest<T>,
+    timeoutMs: number,
+  ): Promise<Result<T>> {
+    const timer = new AbortController();
+    const result = await Promise.race([
+      this.call(
+        from,
+        to,
+        async node => {
+          if (await this.receive(to, characters)) return handle(node);
+          throw new Error('the connection was replaced');
+        },
+        timeoutMs,
+      ),
+      sleep(timeoutMs, timer.signal).then(() =>
+        fail(new VmuxError(ErrorCodes.Timeout)),
+      ),
+    ]);
+    timer.abort();
+    return result;
+  }
+
+  /**
+   * Takes the time that a member needs for what it receives. Returns false if
+   * that much is waiting that the message is dropped with its connection.
+   */
+  private async receive(to: string, characters: number): Promise<boolean> {
+    const nowMs = monotonicMs();
+    const startMs = Math.max(nowMs, this.busyUntilMs.get(to) ?? 0);
+    if (startMs - nowMs > MAX_BACKLOG_MS) return false;
+    const endMs = startMs + characters / this.conditions.charactersPerMs;
+    this.busyUntilMs.set(to, endMs);
+    if (endMs > nowMs) await sleep(endMs - nowMs);
+    return true;
+  }
+
   private async call<T>(
     from: string,
     to: string,
@@ -99,9 +148,15 @@
   }
 }
 
+interface FakeRequest<T> {
+  readonly handle: (node: RaftNode) => Promise<T>;
+  /** Size of what the request carries. */
+  readonly characters: number;
+}
+
 type Call = <T>(
   to: string,
-  handle: (node: RaftNode) => Promise<T>,
+  request: FakeRequest<T>,
   timeoutMs: number,
 ) => Promise<Result<T>>;
 
@@ -115,7 +170,11 @@
     request: VoteRequest,
     timeoutMs: number,
   ): Promise<Result<VoteReply>> {
-    return this.call(to.id, node => node.handleVote(request), timeoutMs);
+    return this.call(
+      to.id,
+      {handle: node => node.handleVote(request), characters: 0},
+      timeoutMs,
+    );
   }
 
   append(
@@ -124,7 +183,15 @@
     timeoutMs: number,
   ): Promise<Result<AppendReply>> {
     const copy = structuredClone(request);
-    return this.call(to.id, node => node.handleAppend(copy), timeoutMs);
+    const characters = copy.entries.reduce(
+      (sum, {data}) => sum + data.length,
+      0,
+    );
+    return this.call(
+      to.id,
+      {handle: node => node.handleAppend(copy), characters},
+      timeoutMs,
+    );
   }
 
   snapshot(
@@ -132,7 +199,14 @@
     request: SnapshotRequest,
     timeoutMs: number,
   ): Promise<Result<SnapshotReply>> {
-    return this.call(to.id, node => node.handleSnapshot(request), timeoutMs);
+    return this.call(
+      to.id,
+      {
+        handle: node => node.handleSnapshot(request),
+        characters: request.chunk.length,
+      },
+      timeoutMs,
+    );
   }
 
   close(): void {}
