fix(consensus): a repair ends whatever the length of the log

Clients of a deployment that had been changed hundreds of times were refused after the second loss of a disk, and an acknowledged configuration could not be read.

Cause: a leader sent up to 512 entries in one call that had to be answered within 300 ms, and after a late reply sent the same entries again.

A call carries 64 Ki characters now, fewer after one without a reply. The next call then asks only for the member's position, so entries that arrived late are not sent again.

--- a/packages/consensus/src/follower.ts
+++ b/packages/consensus/src/follower.ts
@@ -56,7 +56,13 @@
       state.commitIndex = commitIndex;
       this.onCommit();
     }
-    return {term: state.term, accepted: true, matchIndex, retryFrom: 0};
+    return {
+      term: state.term,
+      accepted: true,
+      matchIndex,
+      retryFrom: 0,
+      lastIndex: state.log.lastIndex,
+    };
   }
 
   async handleSnapshot(request: SnapshotRequest): Promise<SnapshotReply> {
@@ -64,13 +70,15 @@
     if (!this.acceptLeader(request.term, request.leaderId)) {
       return {term: state.term, nextOffset: 0};
     }
+    if (request.lastIndex <= state.commitIndex) {
+      const nextOffset = request.offset + request.chunk.length;
+      return {term: state.term, nextOffset};
+    }
     const incoming = this.receiveChunk(request);
     const nextOffset = incoming.receivedState.length;
     if (request.done && request.offset + request.chunk.length === nextOffset) {
       this.incomingSnapshot = undefined;
-      if (request.lastIndex > state.commitIndex) {
-        await this.installSnapshot(request, incoming.receivedState);
-      }
+      await this.installSnapshot(request, incoming.receivedState);
     }
     return {term: state.term, nextOffset};
   }
--- a/packages/consensus/src/messages.ts
+++ b/packages/consensus/src/messages.ts
@@ -21,6 +21,8 @@
   readonly matchIndex: number;
   /** If rejected: the index from which the leader should retry. */
   readonly retryFrom: number;
+  /** Last index of the member's log, which may not match the leader's. */
+  readonly lastIndex?: number;
 }
 
 /** Transfers one chunk of a snapshot. */
--- a/packages/consensus/src/raft_log.ts
+++ b/packages/consensus/src/raft_log.ts
@@ -37,10 +37,29 @@
     return this.entries[index - this.base.index - 1];
   }
 
-  /** Returns up to `limit` entries, starting at index `first`. */
-  slice(first: number, limit: number): LogEntry[] {
+  /**
+   * Returns entries from index `first` on with at most `maxCharacters` of data
+   * in all, but at least one entry if there is any.
+   */
+  slice(first: number, maxCharacters = Infinity): LogEntry[] {
     const start = first - this.base.index - 1;
-    return this.entries.slice(start, start + limit);
+    let end = start;
+    let characters = 0;
+    while (end < this.entries.length) {
+      characters += this.entries[end]!.data.length;
+      if (end > start && characters > maxCharacters) break;
+      end++;
+    }
+    return this.entries.slice(start, end);
+  }
+
+  /** Returns the characters of data in all entries from index `first` on. */
+  charactersFrom(first: number): number {
+    let characters = 0;
+    for (let index = first; index <= this.lastIndex; index++) {
+      characters += this.entryAt(index)?.data.length ?? 0;
+    }
+    return characters;
   }
 
   /** Appends an entry after removing existing entries from its index on. */
@@ -95,7 +114,7 @@
 
   /** Drops the entries up to `base.index`; all entries if the terms differ. */
   compact(base: SnapshotMetadata): void {
-    const keptEntries = this.slice(base.index + 1, Number.MAX_SAFE_INTEGER);
+    const keptEntries = this.slice(base.index + 1);
     const isContinuous = this.termAt(base.index) === base.term;
     this.base = base;
     this.entries = isContinuous ? keptEntries : [];
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -6,14 +6,21 @@
 } from '@vanillamux/shared';
 import type {LogEntry} from './log_entry.js';
 import type {Member} from './member.js';
+import type {AppendReply} from './messages.js';
 import type {RaftState} from './raft_state.js';
 import type {RaftTiming} from './raft_timing.js';
 import type {RaftTransport} from './raft_transport.js';
+import {SnapshotSender} from './snapshot_sender.js';
 import type {Snapshot} from './snapshot.js';
 
-const MAX_ENTRIES_PER_CALL = 512;
-const SNAPSHOT_CHUNK_CHARACTERS = 512 * 1_024;
-const SNAPSHOT_TIMEOUT_FACTOR = 10;
+/** Most characters of entries in one call, unless it carries a single entry. */
+const MAX_CALL_CHARACTERS = 64 * 1_024;
+/** Smallest limit of a call, and the step by which it grows again. */
+const MIN_CALL_CHARACTERS = 4 * 1_024;
+/** Entries with more characters are replaced by a snapshot that has fewer. */
+const MAX_REPLAYED_CHARACTERS = 512 * 1_024;
+/** Slowest rate at which a member receives and stores entries. */
+const MIN_CHARACTERS_PER_MS = 1_000;
 
 const log = getLogger('consensus');
 
@@ -28,18 +35,29 @@
   readonly onContact: () => void;
 }
 
-/** Sends entries, heartbeats and snapshots from the leader to one peer. */
+/**
+ * Sends entries, heartbeats and snapshots from the leader to one peer. A peer
+ * that is far behind receives a snapshot, so the time to catch up depends on
+ * the size of the state and not on the length of the log.
+ */
 export class Replicator {
   readonly peer: Member;
   matchIndex = 0;
   /** Time at which the last call with a reply was sent; extends the lease. */
   lastContactMs = Number.NEGATIVE_INFINITY;
   private nextIndex: number;
+  private maxCharacters = MAX_CALL_CHARACTERS;
+  /** Whether the next call asks for the peer's position and has no entries. */
+  private isProbing = false;
+  /** Whether the peer gets entries although a snapshot was considered. */
+  private prefersEntries = false;
+  private readonly snapshots: SnapshotSender;
   private readonly wakeup = new Wakeup();
 
   constructor(private readonly options: ReplicatorOptions) {
     this.peer = options.peer;
     this.nextIndex = options.state.log.lastIndex + 1;
+    this.snapshots = new SnapshotSender(options);
   }
 
   /** Notifies the replicator of new entries or a new commit index. */
@@ -56,6 +74,7 @@
       const hasReplied = await this.sendNext(startedMs, signal);
       if (signal.aborted) return;
       isCaughtUp = this.nextIndex > state.log.lastIndex;
+      if (isCaughtUp) this.prefersEntries = false;
       if (hasReplied && !isCaughtUp) continue;
       const elapsedMs = monotonicMs() - startedMs;
       await this.wakeup.wait(
@@ -70,11 +89,25 @@
     sentMs: number,
     signal: AbortSignal,
   ): Promise<boolean> {
-    const {state} = this.options;
-    if (this.nextIndex <= state.log.baseIndex) return this.sendSnapshot(signal);
+    const {log: raftLog} = this.options.state;
+    if (this.nextIndex <= raftLog.baseIndex || this.snapshots.isSending)
+      return this.sendSnapshot(signal);
+    if (await this.shouldReplaceEntries()) return this.sendSnapshot(signal);
     return this.sendEntries(sentMs, signal);
   }
 
+  /** Whether a snapshot is smaller than the many entries that the peer lacks. */
+  private async shouldReplaceEntries(): Promise<boolean> {
+    const {log: raftLog} = this.options.state;
+    const hasKnownPosition = Number.isFinite(this.lastContactMs);
+    if (this.isProbing || this.prefersEntries || !hasKnownPosition)
+      return false;
+    const characters = raftLog.charactersFrom(this.nextIndex);
+    if (characters <= MAX_REPLAYED_CHARACTERS) return false;
+    this.prefersEntries = !(await this.snapshots.prepare(characters));
+    return !this.prefersEntries;
+  }
+
   private async sendEntries(
     sentMs: number,
     signal: AbortSignal,
@@ -83,7 +116,10 @@
     const previousIndex = this.nextIndex - 1;
     const previousTerm = state.log.termAt(previousIndex);
     if (previousTerm === undefined) return false;
-    const entries = state.log.slice(this.nextIndex, MAX_ENTRIES_PER_CALL);
+    const entries = this.isProbing
+      ? []
+      : state.log.slice(this.nextIndex, this.maxCharacters);
+    const characters = countCharacters(entries);
     const result = await transport.append(
       this.peer,
       {
@@ -94,79 +130,76 @@
         entries,
         commitIndex: state.commitIndex,
       },
-      timing.callTimeoutMs,
+      timing.callTimeoutMs + characters / MIN_CHARACTERS_PER_MS,
     );
     if (signal.aborted) return false;
     if (!result.ok) {
-      if (entries.length > 0) this.reportUnanswered(entries, result.error);
+      this.handleUnanswered(entries, characters, result.error);
       return false;
     }
     const reply = result.value;
     if (!this.checkTerm(reply.term)) return false;
     this.lastContactMs = sentMs;
-    if (reply.accepted) {
-      this.matchIndex = Math.max(this.matchIndex, reply.matchIndex);
-      this.nextIndex = this.matchIndex + 1;
-    } else {
-      this.nextIndex = Math.max(1, Math.min(reply.retryFrom, previousIndex));
-    }
+    this.applyReply(reply, previousIndex);
     this.options.onContact();
     return true;
   }
 
-  private async sendSnapshot(signal: AbortSignal): Promise<boolean> {
-    const {term, transport, timing, state: raftState} = this.options;
-    const {
-      index,
-      term: lastTerm,
-      members,
-      state: serializedState,
-    } = await this.options.takeSnapshot();
-    let offset = 0;
-    do {
-      const sentMs = monotonicMs();
-      const chunk = serializedState.slice(
-        offset,
-        offset + SNAPSHOT_CHUNK_CHARACTERS,
-      );
-      const result = await transport.snapshot(
-        this.peer,
-        {
-          term,
-          leaderId: raftState.selfId,
-          lastIndex: index,
-          lastTerm,
-          members: [...members],
-          offset,
-          chunk,
-          done: offset + chunk.length === serializedState.length,
-        },
-        timing.callTimeoutMs * SNAPSHOT_TIMEOUT_FACTOR,
-      );
-      if (signal.aborted || !result.ok) return false;
-      if (!this.checkTerm(result.value.term)) return false;
-      this.lastContactMs = sentMs;
-      offset = result.value.nextOffset;
-    } while (offset < serializedState.length);
-    this.matchIndex = Math.max(this.matchIndex, index);
+  private applyReply(reply: AppendReply, previousIndex: number): void {
+    const {log: raftLog} = this.options.state;
+    const wasProbing = this.isProbing;
+    this.isProbing = false;
+    if (!reply.accepted) {
+      this.nextIndex = Math.max(1, Math.min(reply.retryFrom, previousIndex));
+      return;
+    }
+    this.matchIndex = Math.max(this.matchIndex, reply.matchIndex);
     this.nextIndex = this.matchIndex + 1;
-    this.options.onContact();
-    return true;
+    // A call without a reply in time may still have delivered its entries. The
+    // next call checks whether they match.
+    if (wasProbing && reply.lastIndex !== undefined) {
+      const lastIndex = Math.min(reply.lastIndex, raftLog.lastIndex);
+      this.nextIndex = Math.max(this.nextIndex, lastIndex + 1);
+    }
+    this.maxCharacters = Math.min(
+      this.maxCharacters + MIN_CALL_CHARACTERS,
+      MAX_CALL_CHARACTERS,
+    );
   }
 
-  private reportUnanswered(
+  /** Makes the next call small, because this one may have been too large. */
+  private handleUnanswered(
     entries: readonly LogEntry[],
+    characters: number,
     error: VmuxError,
   ): void {
+    this.isProbing = true;
+    if (entries.length === 0) return;
+    this.maxCharacters = Math.max(
+      Math.floor(Math.min(this.maxCharacters, characters) / 2),
+      MIN_CALL_CHARACTERS,
+    );
     log.warn('A member did not acknowledge entries.', {
       member: this.peer.id,
       firstIndex: entries[0]?.index,
       entries: entries.length,
-      characters: entries.reduce((sum, {data}) => sum + data.length, 0),
+      characters,
       reason: error.message,
     });
   }
 
+  private async sendSnapshot(signal: AbortSignal): Promise<boolean> {
+    const reply = await this.snapshots.send(signal);
+    if (!reply || !this.checkTerm(reply.term)) return false;
+    this.lastContactMs = reply.sentMs;
+    if (reply.installedIndex !== undefined) {
+      this.matchIndex = Math.max(this.matchIndex, reply.installedIndex);
+      this.nextIndex = this.matchIndex + 1;
+    }
+    this.options.onContact();
+    return true;
+  }
+
   /**
    * Steps down if the peer is in a later term. Returns whether the term of this
    * leader is still current.
@@ -178,3 +211,7 @@
     return false;
   }
 }
+
+function countCharacters(entries: readonly LogEntry[]): number {
+  return entries.reduce((sum, {data}) => sum + data.length, 0);
+}
