fix(consensus): a voter that has not heard of its promotion votes

Clients found no entry host with a configuration after the loss of a disk and of power, although two of three control hosts had all that was acknowledged.

Cause: a member granted votes only if its own log named it a voter. A promotion is committed by two of three voters; if one of the two then loses its disk, the other needs the vote of the third, which refused it for good. Raft counts by the candidate's members and lets any server vote; the lease, log and ballot checks are unchanged.

--- a/packages/consensus/src/vote_handler.ts
+++ b/packages/consensus/src/vote_handler.ts
@@ -6,7 +6,11 @@
 
 const log = getLogger('consensus');
 
-/** Handles requests for votes and pre-votes. */
+/**
+ * Handles requests for votes and pre-votes. A member votes whatever its own log
+ * says of its role: it may have been promoted without knowing it yet, and the
+ * candidate counts the votes of voters only (Ongaro, 2014, section 4.1).
+ */
 export class VoteHandler {
   constructor(
     private readonly state: RaftState,
@@ -18,14 +22,12 @@
     if (this.hasActiveLeader()) return this.createReply(false);
     if (request.term < state.term) return this.createReply(false);
     const isUpToDate = this.isLogUpToDate(request);
-    if (!isUpToDate || !state.isVoter) this.reportRefusal(request);
-    if (request.preVote) {
-      return {term: state.term, granted: isUpToDate && state.isVoter};
-    }
+    if (!isUpToDate) this.reportRefusal(request);
+    if (request.preVote) return this.createReply(isUpToDate);
     if (request.term > state.term) state.enterTerm(request.term);
     const isVoteAvailable =
       state.votedFor === undefined || state.votedFor === request.candidateId;
-    const isGranted = isUpToDate && isVoteAvailable && state.isVoter;
+    const isGranted = isUpToDate && isVoteAvailable;
     if (isGranted && state.votedFor === undefined) {
       state.setBallot({term: request.term, votedFor: request.candidateId});
     }
@@ -65,7 +67,6 @@
       candidateLastTerm: lastTerm,
       lastIndex: state.log.lastIndex,
       lastTerm: state.log.lastTerm,
-      isVoter: state.isVoter,
     });
   }
 
