--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -64,7 +64,7 @@
     timeoutMs = this.timeoutMs,
   ): Promise<Result<T>> {
     const socket = this.socket;
-    const signal = AbortSignal.timeout(timeoutMs);
+    const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
     try {
       return succeed(await invoke(this.client, signal));
     } catch (error) {
