fix(control): a member that is gone is removed before its successor votes

Cause: a successor became a voter while the identity whose disk is lost still counted, and the removal waited for 2 s of silence, counted anew by each leader. A learner that had not replied could be promoted in the first 2 s of a leader, and dead learners stayed members for good and took the nine places.

A member is known to be gone when its address answers under another identity, which a leader learns within a heartbeat. It is removed first; a silent voter is removed for a learner that has caught up. A learner has caught up when it has what the log had at the previous check and has replied.

--- a/packages/consensus/src/group_status.ts
+++ b/packages/consensus/src/group_status.ts
@@ -8,9 +8,11 @@
   readonly matchIndex?: number;
   /**
    * Milliseconds since the last call that the member replied to was sent, at
-   * most since the start of the leader's term; set only by the leader.
+   * most since the leader knows the member; set only by the leader.
    */
   readonly silentMs?: number;
+  /** Whether another member answers at its address; set only by the leader. */
+  readonly isReplaced?: boolean;
 }
 
 /** State of the group as known to one member. */
@@ -28,4 +30,9 @@
   /** Records, syncs and bytes written to the log since it was opened. */
   readonly log: Readonly<WalStats>;
   readonly members: readonly MemberStatus[];
+  /**
+   * Log index at which `members` were set. The change is certain once
+   * `commitIndex` has reached it.
+   */
+  readonly membersIndex: number;
 }
--- a/packages/consensus/src/leader.ts
+++ b/packages/consensus/src/leader.ts
@@ -95,11 +95,21 @@
 
   /**
    * Returns the milliseconds since the last call that a peer replied to was
-   * sent, at most since the start of this term of leadership.
+   * sent, at most since this leader knows the peer.
    */
   silentMsOf(memberId: string): number {
     const contactMs = this.lastContactMsOf(memberId);
-    return monotonicMs() - Math.max(contactMs, this.startedMs);
+    const startedMs =
+      this.replicators.get(memberId)?.replicator.startedMs ?? this.startedMs;
+    return monotonicMs() - Math.max(contactMs, startedMs);
+  }
+
+  /**
+   * Whether another member answers at the member's address: its host has lost
+   * the disk, and the member will never answer again.
+   */
+  isReplaced(memberId: string): boolean {
+    return this.replicators.get(memberId)?.replicator.isReplaced ?? false;
   }
 
   /** Whether the lease is valid, so no other member can have become leader. */
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -231,12 +231,14 @@
       baseIndex: state.log.baseIndex,
       leaderSilentMs,
       log: {...state.storage.stats},
+      membersIndex: state.log.membership().index,
       members: state.members.map(member => ({
         ...member,
         ...(leader && member.id !== state.selfId
           ? {
               matchIndex: leader.matchIndexOf(member.id),
               silentMs: leader.silentMsOf(member.id),
+              isReplaced: leader.isReplaced(member.id),
             }
           : {}),
       })),
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -1,4 +1,5 @@
 import {
+  ErrorCodes,
   getLogger,
   monotonicMs,
   Wakeup,
@@ -45,6 +46,9 @@
   matchIndex = 0;
   /** Time at which the last call with a reply was sent; extends the lease. */
   lastContactMs = Number.NEGATIVE_INFINITY;
+  readonly startedMs = monotonicMs();
+  /** Whether another member answers at the peer's address. */
+  isReplaced = false;
   private nextIndex: number;
   private maxCharacters = MAX_CALL_CHARACTERS;
   /** Whether the next call asks for the peer's position and has no entries. */
@@ -137,6 +141,7 @@
       this.handleUnanswered(entries, characters, result.error);
       return false;
     }
+    this.isReplaced = false;
     const reply = result.value;
     if (!this.checkTerm(reply.term)) return false;
     this.lastContactMs = sentMs;
@@ -174,6 +179,7 @@
     error: VmuxError,
   ): void {
     this.isProbing = true;
+    this.isReplaced = error.code === ErrorCodes.NotFound;
     if (entries.length === 0) return;
     this.maxCharacters = Math.max(
       Math.floor(Math.min(this.maxCharacters, characters) / 2),
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -11,47 +11,39 @@
   type Result,
 } from '@vanillamux/shared';
 import type {ControlHost} from './control_host.js';
+import type {JoinRequest} from './join_request.js';
+import {MembershipPolicy} from './membership_policy.js';
 
 const CHECK_INTERVAL_MS = 250;
 /** Time after which a join request that is not renewed is dropped. */
 const JOIN_REQUEST_TTL_MS = 5_000;
 /** Shortest time between two log lines on a learner that lags. */
 const LAG_REPORT_INTERVAL_MS = 1_000;
-/** Log entries that a learner may lag behind and still be promoted. */
-const MAX_CAUGHT_UP_LAG_ENTRIES = 64;
-/** Silence up to which a member counts as alive. */
-const MAX_LIVE_SILENCE_MS = 2_000;
-/** Size up to which a discovered group grows; 9 voters tolerate 4 losses. */
-const MAX_VOTERS = 9;
-/**
- * Silence after which a discovered group removes a voter, a few times the
- * election timeout. A dead voter still counts towards the quorum: with four
- * voters, no other may fail. A voter that was only unreachable joins again.
- */
-const MAX_VOTER_SILENCE_MS = 3_000;
-/** Fewest voters to which a discovered group shrinks by itself. */
-const MIN_VOTERS = 3;
-
-interface JoinRequest {
-  readonly member: Member;
-  readonly receivedMs: number;
-  /** Whether an operator made the request, rather than the host itself. */
-  readonly isFromOperator: boolean;
-}
+/** Changes in one check; more follow in the next one. */
+const MAX_CHANGES_PER_CHECK = 8;
 
 const log = getLogger('members');
 
 /**
- * Keeps the group at its declared size while this host is the leader. Hosts
- * that lost their disk and standbys are added as learners, promoted to voters
- * once they have caught up, and replace the lost member, which is then removed.
- * Changes are made one at a time.
+ * Keeps the group at its size while this host is the leader: hosts that lost
+ * their disk and standbys are added as learners, and become voters in place of
+ * a lost member once they have caught up.
  */
 export class MembershipManager {
   private readonly joinRequests = new Map<string, JoinRequest>();
+  private readonly policy: MembershipPolicy;
   private lagReportedMs = Number.NEGATIVE_INFINITY;
-
-  constructor(private readonly host: ControlHost) {}
+  /** Last log index at the previous check while this host was the leader. */
+  private previousLastIndex?: number;
+
+  constructor(private readonly host: ControlHost) {
+    const {discovery, group, replaceAfterMs} = host.settings;
+    this.policy = new MembershipPolicy({
+      usesDiscovery: discovery !== undefined,
+      declaredMembers: group.length,
+      replaceAfterMs,
+    });
+  }
 
   /** Stores the request of a host that asks to be added to the group. */
   requestJoin(member: Member): Result<boolean> {
@@ -80,8 +72,9 @@
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(CHECK_INTERVAL_MS, signal);
-      if (this.host.node.status().role !== RaftRole.Leader) continue;
-      await this.reconcile();
+      if (this.host.node.status().role === RaftRole.Leader)
+        await this.reconcile();
+      else this.previousLastIndex = undefined;
     }
   }
 
@@ -108,46 +101,26 @@
     return succeed(true);
   }
 
-  /** Promotes, removes or adds at most one member. */
+  /** Makes the changes that the group needs now, one after the other. */
   private async reconcile(): Promise<void> {
     this.expireJoinRequests();
-    const {members} = this.host.node.status();
-    const readyLearner = members.find(member => this.isReadyLearner(member));
-    if (readyLearner) {
-      await this.changeMembers(
-        members.map(member =>
-          member.id === readyLearner.id
-            ? {...member, role: MemberRole.Voter}
-            : member,
-        ),
-        `promoted ${readyLearner.id}`,
+    const {node} = this.host;
+    // A learner that has all that the log had at the previous check has caught
+    // up, at any rate of new entries.
+    const caughtUpIndex = this.previousLastIndex ?? node.status().lastIndex;
+    this.previousLastIndex = node.status().lastIndex;
+    for (let changes = 0; changes < MAX_CHANGES_PER_CHECK; changes++) {
+      const change = this.policy.nextChange(
+        node.status(),
+        [...this.joinRequests.values()],
+        caughtUpIndex,
       );
-      return;
+      if (!change) break;
+      const {members, reason} = change;
+      const result = await this.changeMembers(members, reason);
+      if (!result.ok) return;
     }
     this.reportLaggingLearners();
-    const removable = members.find(member => this.isRemovable(member));
-    if (removable) {
-      await this.changeMembers(
-        members.filter(({id}) => id !== removable.id),
-        `removed ${removable.id}, which was replaced`,
-      );
-      return;
-    }
-    const newMember = this.findNewMember(members);
-    if (newMember) {
-      await this.changeMembers(
-        [...members, {...newMember, role: MemberRole.Learner}],
-        `added ${newMember.id} as learner`,
-      );
-    }
-  }
-
-  private isReadyLearner(member: Member): boolean {
-    if (member.role !== MemberRole.Learner) return false;
-    const {members, lastIndex} = this.host.node.status();
-    const status = members.find(({id}) => id === member.id);
-    if ((status?.silentMs ?? Infinity) > MAX_LIVE_SILENCE_MS) return false;
-    return lastIndex - (status?.matchIndex ?? 0) <= MAX_CAUGHT_UP_LAG_ENTRIES;
   }
 
   private reportLaggingLearners(): void {
@@ -167,53 +140,6 @@
     }
   }
 
-  /** Whether a voter is silent and the group has more voters than it needs. */
-  private isRemovable(member: Member): boolean {
-    if (member.role !== MemberRole.Voter) return false;
-    const {members} = this.host.node.status();
-    const voters = members.filter(({role}) => role === MemberRole.Voter);
-    if (voters.length <= this.minVoters) return false;
-    const hasSuccessor = voters.some(
-      ({id, hostId}) => hostId === member.hostId && id !== member.id,
-    );
-    const status = members.find(({id}) => id === member.id);
-    const silentMs = status?.silentMs ?? 0;
-    if (hasSuccessor) return silentMs > MAX_LIVE_SILENCE_MS;
-    if (this.usesDiscovery) return silentMs > MAX_VOTER_SILENCE_MS;
-    return silentMs > this.host.settings.replaceAfterMs;
-  }
-
-  private findNewMember(members: readonly Member[]): Member | undefined {
-    for (const {member, isFromOperator} of this.joinRequests.values()) {
-      if (members.some(({id}) => id === member.id)) continue;
-      if (this.usesDiscovery && members.length < MAX_VOTERS) return member;
-      const hasPredecessor = members.some(
-        ({hostId}) => hostId === member.hostId,
-      );
-      if (isFromOperator || hasPredecessor || this.hasLostVoter())
-        return member;
-    }
-    return undefined;
-  }
-
-  private hasLostVoter(): boolean {
-    const {members} = this.host.node.status();
-    const voters = members.filter(({role}) => role === MemberRole.Voter);
-    if (voters.length > this.minVoters) return false;
-    const {replaceAfterMs} = this.host.settings;
-    return voters.some(({silentMs}) => (silentMs ?? 0) > replaceAfterMs);
-  }
-
-  /** Whether hosts are discovered and added without being declared. */
-  private get usesDiscovery(): boolean {
-    return this.host.settings.discovery !== undefined;
-  }
-
-  /** Number of voters up to which none is removed. */
-  private get minVoters(): number {
-    return this.usesDiscovery ? MIN_VOTERS : this.host.settings.group.length;
-  }
-
   private expireJoinRequests(): void {
     for (const [id, {receivedMs}] of this.joinRequests) {
       if (monotonicMs() - receivedMs > JOIN_REQUEST_TTL_MS)
--- a/packages/fleet/__tests__/control_failures.test.ts
+++ b/packages/fleet/__tests__/control_failures.test.ts
@@ -155,8 +155,9 @@
           return api.group.status.query(undefined, {signal});
         });
         if (!status.ok) return false;
-        const {members} = status.value;
+        const {members, membersIndex, commitIndex} = status.value;
         return (
+          commitIndex >= membersIndex &&
           members.length === 3 &&
           members.every(
             ({id, role}) => role === 'voter' && id !== previousMember.id,
