--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -9,6 +9,7 @@
 } from '@vanillamux/shared';
 import type {ControlHost} from './control_host.js';
 import {FormationState} from './formation_state.js';
+import type {FormationStatus} from './formation_status.js';
 import {PeerClients} from './peer_clients.js';
 
 const RETRY_DELAY_MS = 250;
@@ -55,7 +56,9 @@
       for (const {address} of members) this.addAddress(address);
       if (role === RaftRole.Leader || leaderSilentMs < LEADER_SILENCE_MS)
         continue;
-      if (!signal.aborted) await this.requestJoin();
+      if (signal.aborted) break;
+      const addresses = [...this.knownAddresses.values()];
+      await Promise.all(addresses.map(address => this.askToJoin(address)));
     }
     this.close();
   }
@@ -66,25 +69,19 @@
   }
 
   private async joinOrFormGroup(): Promise<void> {
-    const results = await Promise.all(
-      [...this.knownAddresses.values()].map(address =>
-        this.clients
-          .get(address)
-          .call(
-            (api, signal) => api.group.formation.query(undefined, {signal}),
-            CALL_TIMEOUT_MS,
-          ),
-      ),
-    );
-    const statuses = results.flatMap(result =>
-      result.ok ? [result.value] : [],
+    const statuses: FormationStatus[] = [];
+    // A host that is gone costs a timeout, which must not delay the others.
+    await Promise.all(
+      [...this.knownAddresses.values()].map(async address => {
+        const status = await this.readFormation(address);
+        if (!status) return;
+        statuses.push(status);
+        status.known.forEach(known => this.addAddress(known));
+        if (status.state === FormationState.Formed)
+          await this.askToJoin(address);
+      }),
     );
-    for (const status of statuses)
-      status.known.forEach(address => this.addAddress(address));
-    if (statuses.some(({state}) => state === FormationState.Formed)) {
-      await this.requestJoin();
-      return;
-    }
+    if (statuses.some(({state}) => state === FormationState.Formed)) return;
     const initialMembers = this.host.findInitialMembers([
       this.host.formationStatus(),
       ...statuses,
@@ -92,6 +89,18 @@
     if (initialMembers) await this.formGroup(initialMembers);
   }
 
+  private async readFormation(
+    address: Address,
+  ): Promise<FormationStatus | undefined> {
+    const result = await this.clients
+      .get(address)
+      .call(
+        (api, signal) => api.group.formation.query(undefined, {signal}),
+        CALL_TIMEOUT_MS,
+      );
+    return result.ok ? result.value : undefined;
+  }
+
   /** Sends the member list to the others, on the first of the members only. */
   private async formGroup(members: readonly Member[]): Promise<void> {
     if (members[0]?.id !== this.host.self.id) return;
@@ -117,31 +126,25 @@
     await this.host.formGroup(voters);
   }
 
-  /** Calls the known hosts and the leader that they name until one accepts. */
-  private async requestJoin(): Promise<void> {
-    const calledAddresses = new Set<string>();
-    const addresses = [...this.knownAddresses.values()];
-    for (const address of addresses) {
-      const key = formatAddress(address);
-      if (calledAddresses.has(key)) continue;
-      calledAddresses.add(key);
-      const result = await this.clients
-        .get(address)
-        .call(
-          (api, signal) => api.group.join.mutate(this.host.self, {signal}),
-          CALL_TIMEOUT_MS,
-        );
-      if (result.ok) {
-        if (!this.hasRequestedJoin)
-          log.info('Asked the leader to join the group.');
-        this.hasRequestedJoin = true;
-        return;
-      }
-      const {code, field} = result.error;
-      if (code === ErrorCodes.NotLeader && field) {
-        addresses.push(parseAddress(field));
-      }
+  /** Asks a host to join, and the leader that it names, if it does. */
+  private async askToJoin(address: Address, isLeader = false): Promise<void> {
+    const result = await this.clients
+      .get(address)
+      .call(
+        (api, signal) => api.group.join.mutate(this.host.self, {signal}),
+        CALL_TIMEOUT_MS,
+      );
+    if (result.ok) {
+      if (!this.hasRequestedJoin)
+        log.info('Asked the leader to join the group.');
+      this.hasRequestedJoin = true;
+      return;
     }
+    const {code, field} = result.error;
+    if (code !== ErrorCodes.NotLeader || !field || isLeader) return;
+    const leader = parseAddress(field);
+    this.addAddress(leader);
+    await this.askToJoin(leader, true);
   }
 
   private addAddress(address: Address): void {
