--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -119,6 +119,7 @@
       const {members, reason} = change;
       const result = await this.changeMembers(members, reason);
       if (!result.ok) return;
+      this.lagReportedMs = monotonicMs();
     }
     this.reportLaggingLearners();
   }
