fix(storage): a folder that a process created outlives a loss of power

After a loss of power a control host could come back without the folder of its log, as if its disk had been lost, and so could several at once.

Cause: the folder was created and the folder above it never synced. MemoryDisk also undoes removals that were not synced; the log's rotation bears it.

--- /dev/null
+++ b/packages/storage/__tests__/node_disk.test.ts
@@ -0,0 +1,54 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync} from 'node:fs';
+import fs from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {syncBuiltinESMExports} from 'node:module';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
+import {NodeDisk} from '../src/index.js';
+
+describe('a folder on the file system', () => {
+  let root: string;
+  let syncedFolders: string[];
+
+  beforeEach(() => {
+    root = mkdtempSync(join(tmpdir(), 'vmux-disk-'));
+    syncedFolders = [];
+    const openFile = fs.open.bind(fs);
+    mock.method(fs, 'open', async (...args: Parameters<typeof fs.open>) => {
+      const handle = await openFile(...args);
+      const sync = handle.sync.bind(handle);
+      handle.sync = async () => {
+        syncedFolders.push(String(args[0]));
+        await sync();
+      };
+      return handle;
+    });
+    syncBuiltinESMExports();
+  });
+
+  afterEach(() => {
+    mock.restoreAll();
+    syncBuiltinESMExports();
+    rmSync(root, {recursive: true});
+  });
+
+  const CASES = [
+    {name: 'a folder', path: ['group'], parents: [[]]},
+    {name: 'folders', path: ['data', 'group'], parents: [['data'], []]},
+  ];
+  for (const {name, path, parents} of CASES) {
+    it(`outlives a power failure with ${name} that it created`, async () => {
+      const opened = await NodeDisk.openFolder(join(root, ...path));
+      assert.ok(opened.ok);
+      const expected = parents.map(parent => join(root, ...parent));
+      assert.deepEqual(syncedFolders, expected);
+    });
+  }
+
+  it('outlives a power failure with a folder of an earlier process', async () => {
+    await fs.mkdir(join(root, 'group'));
+    assert.ok((await NodeDisk.openFolder(join(root, 'group'))).ok);
+    assert.deepEqual(syncedFolders, [root]);
+  });
+});
--- a/packages/storage/__tests__/wal.test.ts
+++ b/packages/storage/__tests__/wal.test.ts
@@ -133,24 +133,27 @@
     );
   });
 
-  it('keeps the records of a rotation if the power fails at any point of it', async () => {
-    for (let operations = 0; operations < 8; operations++) {
-      const disk = new MemoryDisk();
-      const {wal} = await openWal(disk);
-      await appendTexts(wal, [
-        ['old', true],
-        ['kept', true],
-      ]);
-      disk.remainingOperations = operations;
-      const rotated = await wal
-        .rotate(() => [Buffer.from('kept')])
-        .then(() => appendTexts(wal, [['new', true]]))
-        .catch(() => ({synced: []}));
-      const {texts} = await openWal(disk.crash(() => 0));
-      assert.ok(texts.includes('kept'));
-      if (rotated.synced.length > 0) assert.deepEqual(texts, ['kept', 'new']);
-    }
-  });
+  for (const restoresRemoved of [false, true]) {
+    const names = restoresRemoved ? 'removed files return' : 'none returns';
+    it(`keeps the records of a rotation if the power fails at any point of it and ${names}`, async () => {
+      for (let operations = 0; operations < 8; operations++) {
+        const disk = new MemoryDisk();
+        const {wal} = await openWal(disk);
+        await appendTexts(wal, [
+          ['old', true],
+          ['kept', true],
+        ]);
+        disk.remainingOperations = operations;
+        const rotated = await wal
+          .rotate(() => [Buffer.from('kept')])
+          .then(() => appendTexts(wal, [['new', true]]))
+          .catch(() => ({synced: []}));
+        const {texts} = await openWal(disk.crash(() => 0, restoresRemoved));
+        assert.ok(texts.includes('kept'));
+        if (rotated.synced.length > 0) assert.deepEqual(texts, ['kept', 'new']);
+      }
+    });
+  }
 
   it('makes many pending records durable with few syncs', async () => {
     const {wal} = await openWal(new MemoryDisk());
--- a/packages/storage/src/memory_disk.ts
+++ b/packages/storage/src/memory_disk.ts
@@ -23,6 +23,8 @@
    */
   isFull = false;
   private readonly files = new Map<string, MemoryFile>();
+  /** Removed files whose removal a power failure may still undo. */
+  private readonly removed = new Map<string, MemoryFile>();
 
   async list(): Promise<string[]> {
     return [...this.files.keys()];
@@ -40,6 +42,7 @@
       syncedBytes: 0,
     };
     this.files.set(name, file);
+    this.removed.clear();
     return new MemoryLogFile(
       file,
       () => this.consumeOperation(),
@@ -52,6 +55,7 @@
     if (this.isFull) throw Object.assign(new Error('full'), {code: 'ENOSPC'});
     const bytes = Buffer.from(content);
     this.files.set(name, {content: bytes, syncedBytes: bytes.length});
+    this.removed.clear();
   }
 
   async rename(from: string, to: string): Promise<void> {
@@ -60,20 +64,30 @@
     if (!file) throw new Error(`no file ${from}`);
     this.files.delete(from);
     this.files.set(to, file);
+    this.removed.clear();
   }
 
   async remove(name: string): Promise<void> {
     this.consumeOperation();
+    const file = this.files.get(name);
+    if (file) this.removed.set(name, file);
     this.files.delete(name);
   }
 
   /**
    * Returns the disk after a power failure. `countSurvivingBytes` decides how
-   * many unsynced bytes of each file survive.
+   * many unsynced bytes of each file survive, `restoresRemoved` whether files
+   * return whose removal was not synced.
    */
-  crash(countSurvivingBytes: (unsyncedBytes: number) => number): MemoryDisk {
+  crash(
+    countSurvivingBytes: (unsyncedBytes: number) => number,
+    restoresRemoved = false,
+  ): MemoryDisk {
     const crashedDisk = new MemoryDisk();
-    for (const [name, {content, syncedBytes}] of this.files) {
+    const files = restoresRemoved
+      ? new Map([...this.removed, ...this.files])
+      : this.files;
+    for (const [name, {content, syncedBytes}] of files) {
       const unsynced = content.length - syncedBytes;
       const length =
         syncedBytes + Math.min(unsynced, countSurvivingBytes(unsynced));
--- a/packages/storage/src/node_disk.ts
+++ b/packages/storage/src/node_disk.ts
@@ -1,5 +1,5 @@
 import {mkdir, open, readFile, readdir, rename, rm} from 'node:fs/promises';
-import {join} from 'node:path';
+import {dirname, join, resolve} from 'node:path';
 import {
   ErrorCodes,
   fail,
@@ -32,7 +32,7 @@
     options: NodeDiskOptions = {},
   ): Promise<Result<NodeDisk>> {
     try {
-      await mkdir(folder, {recursive: true});
+      await createFolder(resolve(folder));
       const probe = join(folder, '.probe');
       const handle = await open(probe, 'w');
       await handle.close();
@@ -84,9 +84,28 @@
     await rm(join(this.folder, name), {force: true});
   }
 
-  private async syncFolder(): Promise<void> {
-    const handle = await open(this.folder, 'r');
-    await handle.sync();
-    await handle.close();
+  private syncFolder(): Promise<void> {
+    return syncFolder(this.folder);
+  }
+}
+
+/**
+ * Creates a folder and those above it. Their names are durable once the folders
+ * that hold them are synced; without that a power failure may take the folder
+ * with all files in it.
+ */
+async function createFolder(folder: string): Promise<void> {
+  const created = await mkdir(folder, {recursive: true});
+  // An earlier process may have created the folder and ended before the sync.
+  const topParent = dirname(created ?? folder);
+  for (let parent = dirname(folder); ; parent = dirname(parent)) {
+    await syncFolder(parent);
+    if (parent === topParent) return;
   }
 }
+
+async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, 'r');
+  await handle.sync();
+  await handle.close();
+}
