--- a/packages/consensus/__tests__/repair.test.ts
+++ b/packages/consensus/__tests__/repair.test.ts
@@ -65,6 +65,23 @@
     });
   }
 
+  it('catches up a lagging member after every member was restarted', async () => {
+    await createGroup(['a/1', 'b/1', 'c/1']);
+    const laggingId = [...group.members.keys()].find(
+      id => id !== group.leader()!.member.id,
+    )!;
+    group.network.isolate(laggingId);
+    for (let index = 0; index < 200; index++) {
+      await group.commit(String(index).padEnd(ENTRY_CHARACTERS, 'x'));
+    }
+    const ids = [...group.members.keys()];
+    for (const id of ids) await group.crash(id);
+    const downId = ids.find(id => id !== laggingId)!;
+    group.network.heal();
+    for (const id of ids) if (id !== downId) await group.restart(id);
+    await group.commit('after the restart');
+  });
+
   it('elects a leader by the vote of a voter that does not know its promotion', async () => {
     await createGroup(['a/1', 'b/1', 'c/1']);
     const lostId = await loseFollower();
--- a/packages/consensus/src/raft_log.ts
+++ b/packages/consensus/src/raft_log.ts
@@ -56,10 +56,10 @@
     return this.entries.slice(start, end);
   }
 
-  /** Returns the characters of data in all entries from index `first` on. */
-  charactersFrom(first: number): number {
+  /** Returns the characters of data in the entries from `first` to `last`. */
+  charactersBetween(first: number, last = this.lastIndex): number {
     let characters = 0;
-    for (let index = first; index <= this.lastIndex; index++) {
+    for (let index = first; index <= last; index++) {
       characters += this.entryAt(index)?.data.length ?? 0;
     }
     return characters;
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -100,15 +100,19 @@
     return this.sendEntries(sentMs, signal);
   }
 
-  /** Whether a snapshot is smaller than the many entries that the peer lacks. */
+  /** Whether a snapshot is smaller than the entries that it would replace. */
   private async shouldReplaceEntries(): Promise<boolean> {
     const {log: raftLog} = this.options.state;
     const hasKnownPosition = Number.isFinite(this.lastContactMs);
     if (this.isProbing || this.prefersEntries || !hasKnownPosition)
       return false;
-    const characters = raftLog.charactersFrom(this.nextIndex);
-    if (characters <= MAX_REPLAYED_CHARACTERS) return false;
-    this.prefersEntries = !(await this.snapshots.prepare(characters));
+    const {nextIndex} = this;
+    if (raftLog.charactersBetween(nextIndex) <= MAX_REPLAYED_CHARACTERS)
+      return false;
+    this.prefersEntries = !(await this.snapshots.prepare(
+      ({index, state}) =>
+        state.length < raftLog.charactersBetween(nextIndex, index),
+    ));
     return !this.prefersEntries;
   }
 
--- a/packages/consensus/src/snapshot_sender.ts
+++ b/packages/consensus/src/snapshot_sender.ts
@@ -42,13 +42,12 @@
     return this.snapshot !== undefined;
   }
 
-  /**
-   * Takes a snapshot if none is being sent. Returns whether it has fewer than
-   * `maxCharacters`; a larger one is dropped.
-   */
-  async prepare(maxCharacters: number): Promise<boolean> {
+  /** Takes a snapshot to send. Returns false if it is not `isWorthwhile`. */
+  async prepare(
+    isWorthwhile: (snapshot: Snapshot) => boolean,
+  ): Promise<boolean> {
     const snapshot = await this.options.takeSnapshot();
-    if (snapshot.state.length >= maxCharacters) return false;
+    if (!isWorthwhile(snapshot)) return false;
     this.start(snapshot);
     return true;
   }
