--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -77,7 +77,8 @@
   private readonly abortController = new AbortController();
   private leader?: Leader;
   private appliedIndex: number;
-  private compaction?: Promise<void>;
+  /** Compaction or installation of a snapshot; one runs at a time. */
+  private snapshotTask?: Promise<void>;
 
   constructor(private readonly options: RaftNodeOptions) {
     const {recovered, stateMachine, transport, selfId} = options;
@@ -123,7 +124,7 @@
     this.leader?.stop();
     this.pendingProposals.failAll();
     this.options.transport.close();
-    await this.compaction;
+    await this.snapshotTask;
     await this.state.storage.close();
   }
 
@@ -333,15 +334,16 @@
     const maxEntries = this.options.snapshotEntries ?? DEFAULT_SNAPSHOT_ENTRIES;
     const appliedEntries = this.appliedIndex - this.state.log.baseIndex;
     const isLogLarge = this.state.storage.logBytes >= SNAPSHOT_BYTES;
-    if ((appliedEntries < maxEntries && !isLogLarge) || this.compaction) return;
-    this.compaction = this.compact()
+    if ((appliedEntries < maxEntries && !isLogLarge) || this.snapshotTask)
+      return;
+    this.snapshotTask = this.compact()
       .catch((error: unknown) => {
         if (!isTransientDiskError(error)) return this.onStorageFailure(error);
         const reason = (error as Error).message;
         log.warn('Could not write a snapshot; retrying.', {reason});
       })
       .finally(() => {
-        this.compaction = undefined;
+        this.snapshotTask = undefined;
       });
   }
 
@@ -394,18 +396,31 @@
     request: SnapshotRequest,
     serializedState: string,
   ): Promise<void> {
-    const {state} = this;
     const snapshot: Snapshot = {
       index: request.lastIndex,
       term: request.lastTerm,
       members: request.members,
       state: serializedState,
     };
-    await this.compaction;
+    // A compaction beside it could replace the file by that of an older index,
+    // while the log no longer has the entries in between.
+    while (this.snapshotTask) await this.snapshotTask;
+    if (snapshot.index <= this.appliedIndex) return;
+    const installation = this.storeSnapshot(snapshot);
+    this.snapshotTask = installation
+      .catch(() => undefined)
+      .finally(() => {
+        this.snapshotTask = undefined;
+      });
+    await installation;
+  }
+
+  private async storeSnapshot(snapshot: Snapshot): Promise<void> {
+    const {state} = this;
     await state.storage.saveSnapshot(snapshot);
     if (snapshot.index <= this.appliedIndex) return;
     state.log.compact(snapshot);
-    this.stateMachine.restore(serializedState);
+    this.stateMachine.restore(snapshot.state);
     this.appliedIndex = snapshot.index;
     state.commitIndex = Math.max(state.commitIndex, snapshot.index);
     await state.storage.compactLog(state.log, () => state.currentBallot());
