feat(gateway): logs tell whether a host reaches the backend servers of a service

Clients see nothing of it. ServiceReach holds that: three backend servers, or all if there are fewer, that failed within 5 s without a response in between. A log line and a gauge say when it begins and ends. The tests can replace the connector, so that a path fails for one host alone.

--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -8,6 +8,7 @@
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestHandler} from '../src/request/request_handler.js';
+import {ServiceReach} from '../src/reach/service_reach.js';
 import {createBackends} from './create_backend.js';
 import {createConfig, createRoute} from './create_config.js';
 
@@ -155,6 +156,7 @@
       end: async () => undefined,
     },
     factSync: {isSynced: true},
+    reach: new ServiceReach(),
     requestLimits: {
       waitMs: () => 0,
       isLimited: () => false,
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -15,6 +15,7 @@
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestRunner} from '../src/request/request_runner.js';
 import {SharedRetryBudget} from '../src/request/shared_retry_budget.js';
+import {ServiceReach} from '../src/reach/service_reach.js';
 import {createBackends, createWork} from './create_backend.js';
 import {createRoute} from './create_config.js';
 
@@ -56,6 +57,7 @@
     memory: {reserve: async () => []},
     notices: {tell: () => {}, tellEnd: () => {}},
     requestLimits: {waitMs: () => 0, isLimited: () => false},
+    reach: new ServiceReach(),
     quarantine: {
       check: () => undefined,
       watch: () => ({}),
--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,5 +1,6 @@
 import type {Socket} from 'node:net';
 import {buildConnector, Client} from 'undici';
+import type {Connector} from './connector.js';
 
 /**
  * Timeout for connecting to a backend server. It is far above a round trip
@@ -13,6 +14,8 @@
 const IDLE_MARGIN_MS = 1_000;
 const MAX_HEADER_BYTES = 64 * 1_024;
 
+const defaultConnector = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+
 /** One connection to a backend server, which carries one request at a time. */
 export class Connection {
   readonly client: Client;
@@ -22,8 +25,11 @@
   private failed = false;
 
   /** `onClosed` is called when the connection has been closed. */
-  constructor(origin: string, onClosed: (connection: Connection) => void) {
-    const connect = buildConnector({timeout: CONNECT_TIMEOUT_MS});
+  constructor(
+    origin: string,
+    onClosed: (connection: Connection) => void,
+    connect: Connector = defaultConnector,
+  ) {
     this.client = new Client(origin, {
       pipelining: 1,
       connect: (options, callback) =>
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -7,6 +7,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {Connection} from './connection.js';
+import type {Connector} from './connector.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeRequest} from './exchange_request.js';
 
@@ -22,7 +23,11 @@
   private readonly idle: Connection[] = [];
   private isClosed = false;
 
-  constructor({host, port}: Address) {
+  /** `connect` opens sockets, those of undici by default. */
+  constructor(
+    {host, port}: Address,
+    private readonly connect?: Connector,
+  ) {
     this.origin = `http://${host}:${port}`;
   }
 
@@ -65,7 +70,7 @@
       if (index >= 0) this.idle.splice(index, 1);
     };
     try {
-      return succeed(new Connection(this.origin, onClosed));
+      return succeed(new Connection(this.origin, onClosed, this.connect));
     } catch (cause) {
       const message = `${this.origin} is not a valid address`;
       return fail(new VmuxError(ErrorCodes.TransportFailed, {message, cause}));
--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -1,15 +1,19 @@
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
+import type {Connector} from './connector.js';
 
 /** Holds the connection pool of each backend server. */
 export class ConnectionPools {
   private readonly pools = new Map<Backend, ConnectionPool>();
 
+  /** `connect` opens sockets, those of undici by default. */
+  constructor(private readonly connect?: Connector) {}
+
   /** The pool for one incarnation of a backend server. */
   poolFor(backend: Backend): ConnectionPool {
     let pool = this.pools.get(backend);
     if (!pool) {
-      pool = new ConnectionPool(backend.presence.address);
+      pool = new ConnectionPool(backend.presence.address, this.connect);
       this.pools.set(backend, pool);
     }
     return pool;
--- /dev/null
+++ b/packages/gateway/src/reach/service_reach.ts
@@ -0,0 +1,87 @@
+import {EventBus, getLogger} from '@vanillamux/shared';
+import type {Stream} from 'most';
+
+/**
+ * Backend servers of one service that have failed without a response in between
+ * before the host takes itself to be cut off from the service.
+ */
+const LOST_BACKENDS = 3;
+/** Age from which a failure says nothing of the present any more. */
+const FAILURE_TTL_MS = 5_000;
+
+const log = getLogger('reach');
+
+interface ServiceEvidence {
+  /** Backend servers that failed since the last response, by time. */
+  readonly failedAtMs: Map<string, number>;
+  lostMs?: number;
+}
+
+/**
+ * Tells whether this host reaches the backend servers of a service. One server
+ * that fails says nothing of the host. If several fail and none responds, the
+ * host is cut off, or all of them are down; other hosts know which.
+ */
+export class ServiceReach {
+  private readonly services = new Map<string, ServiceEvidence>();
+  private readonly lostBus = new EventBus<string>();
+
+  /** Streams the service whenever one is lost. */
+  lost(): Stream<string> {
+    return this.lostBus.stream();
+  }
+
+  /**
+   * Records that a backend server could not be reached, or fell silent or broke
+   * off before it responded. `backends` is the number of servers of the service.
+   */
+  recordFailure(
+    service: string,
+    backendId: string,
+    backends: number,
+    nowMs: number,
+  ): void {
+    const evidence: ServiceEvidence = this.services.get(service) ?? {
+      failedAtMs: new Map(),
+    };
+    this.services.set(service, evidence);
+    for (const [id, atMs] of evidence.failedAtMs) {
+      if (nowMs - atMs > FAILURE_TTL_MS) evidence.failedAtMs.delete(id);
+    }
+    evidence.failedAtMs.set(backendId, nowMs);
+    const {size} = evidence.failedAtMs;
+    if (evidence.lostMs !== undefined) return;
+    if (size < Math.min(LOST_BACKENDS, backends)) return;
+    evidence.lostMs = nowMs;
+    log.warn('Lost every backend server of a service.', {
+      service,
+      failed: [...evidence.failedAtMs.keys()].join(),
+      backends,
+      evidenceMs: Math.round(nowMs - Math.min(...evidence.failedAtMs.values())),
+    });
+    this.lostBus.emit(service);
+  }
+
+  /** Records that a backend server has responded or accepted a connection. */
+  recordContact(service: string, backendId: string, nowMs: number): void {
+    const evidence = this.services.get(service);
+    if (!evidence) return;
+    this.services.delete(service);
+    if (evidence.lostMs === undefined) return;
+    log.info('Reached a backend server of a lost service again.', {
+      service,
+      backend: backendId,
+      lostMs: Math.round(nowMs - evidence.lostMs),
+    });
+  }
+
+  /** Whether the host seems to be cut off from the service. */
+  isLost(service: string): boolean {
+    return this.services.get(service)?.lostMs !== undefined;
+  }
+
+  /** Services that the host seems to be cut off from. */
+  lostServices(): string[] {
+    return [...this.services.keys()].filter(service => this.isLost(service));
+  }
+}
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -58,6 +58,7 @@
   private readonly startedMs = monotonicMs();
   private silenceTimer?: NodeJS.Timeout;
   private isSilent = false;
+  private hasResponded = false;
 
   constructor(protected readonly options: AttemptOptions) {
     this.components = options.components;
@@ -102,6 +103,7 @@
 
   private reportSilence(timeoutMs: number): void {
     this.isSilent = true;
+    if (!this.hasResponded) this.recordLostContact();
     this.decision.backend.failures.recordSilence(monotonicMs());
     this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
   }
@@ -158,6 +160,7 @@
     if (signal.aborted) return createAbortedResult(signal);
     const {failures, presence} = this.decision.backend;
     failures.eject(monotonicMs());
+    if (!this.hasResponded) this.recordLostContact();
     if (error.isConnectTimeout) {
       const {failureDomain, id} = presence;
       const {reachability: reach} = this.components.backends;
@@ -173,6 +176,13 @@
     };
   }
 
+  private recordLostContact(): void {
+    const {service, id} = this.decision.backend.presence;
+    const {reach, backends} = this.components;
+    const {length} = backends.candidates(service);
+    reach.recordFailure(service, id, length, monotonicMs());
+  }
+
   /** Lists the helpers; engines with a reservation come first, in order. */
   private listHelpers(): PrefillHelper[] {
     const {decision, options} = this;
@@ -228,9 +238,10 @@
       this.request.metadata.requestId,
     );
     const {backend} = this.decision;
-    this.components.backends.reachability.recordResponse(
-      backend.presence.failureDomain,
-    );
+    const {service, id, failureDomain} = backend.presence;
+    this.hasResponded = true;
+    this.components.reach.recordContact(service, id, monotonicMs());
+    this.components.backends.reachability.recordResponse(failureDomain);
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
     this.learnRequestLimit(metadata);
     const rejection = this.checkResponse(metadata);
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -7,6 +7,7 @@
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {PlacementPolicies} from '../placement/placement_policies.js';
 import type {QuarantineManager} from '../quarantine/quarantine_manager.js';
+import type {ServiceReach} from '../reach/service_reach.js';
 import type {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import type {RequestRecorder} from './request_recorder.js';
@@ -24,6 +25,7 @@
   readonly notices: PeerNotices;
   readonly quarantine: QuarantineManager;
   readonly requestLimits: RequestLimitManager;
+  readonly reach: ServiceReach;
   readonly factSync: FactSync;
   readonly requestRecorder: RequestRecorder;
   readonly metrics: GatewayMetrics;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -16,6 +16,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {ConnectionPools} from '../connection/connection_pools.js';
+import type {Connector} from '../connection/connector.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {BackendPool} from '../fleet/backend_pool.js';
 import {ConfigStore} from '../link/config_store.js';
@@ -24,6 +25,7 @@
 import {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import {PlacementPolicies} from '../placement/placement_policies.js';
 import {QuarantineManager} from '../quarantine/quarantine_manager.js';
+import {ServiceReach} from '../reach/service_reach.js';
 import {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import {FactSync} from '../peers/fact_sync.js';
 import {PeerNotices} from '../peers/peer_notices.js';
@@ -76,13 +78,15 @@
   readonly dialect: Dialect;
   /** Path of the readiness probe of the load balancer. */
   readonly readinessPath: string;
+  /** Opens sockets to backend servers; those of undici by default. */
+  readonly connect?: Connector;
 }
 
 /** An entry host that forwards HTTP requests to backend servers. */
 export class Gateway implements LinkListener {
   private readonly config: ConfigStore;
   private readonly backends = new BackendPool();
-  private readonly connections = new ConnectionPools();
+  private readonly connections: ConnectionPools;
   private readonly retryBudget: SharedRetryBudget;
   private readonly readiness: Readiness;
   private readonly handler: RequestHandler;
@@ -93,6 +97,7 @@
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
   private readonly requestLimits: RequestLimitManager;
+  private readonly reach = new ServiceReach();
   private readonly factSync: FactSync;
   private readonly clientServer: ClientServer;
   private readonly probeServers: Server[] = [];
@@ -103,6 +108,7 @@
   private constructor(private readonly options: GatewayOptions) {
     const {settings, dialect} = options;
     this.config = new ConfigStore(dialect);
+    this.connections = new ConnectionPools(options.connect);
     this.readiness = new Readiness(this.config);
     const {retries} = settings;
     const windowMs = retries.windowS * MS_PER_SECOND;
@@ -270,6 +276,7 @@
       notices: this.notices,
       quarantine: this.quarantine,
       requestLimits: this.requestLimits,
+      reach: this.reach,
       factSync: this.factSync,
       metrics: this.metrics,
       isDraining: () => this.readiness.draining,
@@ -284,6 +291,7 @@
       quarantinedParts: () => this.quarantine.partCount,
       quarantinedRequests: () => this.quarantine.requestCount,
       limitedBackends: () => this.requestLimits.size,
+      lostServices: () => this.reach.lostServices().length,
       controlHosts: () => this.links.hosts().length,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
       backends: () =>
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -14,6 +14,8 @@
   quarantinedParts(): number;
   /** Backend servers that name a request limit. */
   limitedBackends(): number;
+  /** Services that the host seems to be cut off from. */
+  lostServices(): number;
   /** Control hosts that respond. */
   controlHosts(): number;
   /** Entries of the record that no control host has acknowledged. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -120,6 +120,11 @@
         'Backend servers that name a request limit.',
         () => gauges.limitedBackends(),
       ],
+      [
+        'vmux_gateway_lost_services',
+        'Services none of whose backend servers this host reaches.',
+        () => gauges.lostServices(),
+      ],
       [
         'vmux_gateway_control_hosts',
         'Control hosts that answer.',
