--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,19 +1,13 @@
-import {formatAddress, monotonicMs} from '@vanillamux/shared';
+import {monotonicMs} from '@vanillamux/shared';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import type {ExchangeError} from '../connection/exchange_error.js';
-import type {ExchangeRequest} from '../connection/exchange_request.js';
-import type {ResponseMetadata} from '../dialect/response_metadata.js';
-import {ResponseVerdict} from '../dialect/response_verdict.js';
-import type {PrefillHelper} from '../dialect/prefill_helper.js';
-import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
-import type {Backend} from '../fleet/backend.js';
-import type {MemoryReservation} from '../memory/memory_reservation.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
 import {createAbortedResult} from './create_aborted_result.js';
 import type {ClientRequest} from './client_request.js';
+import type {Destination} from './destination.js';
 import type {GatewayComponents} from './gateway_components.js';
 import type {PlacementClaim} from './placement_claim.js';
 import type {ResponseWriter} from './response_writer.js';
@@ -25,12 +19,9 @@
   readonly components: GatewayComponents;
   readonly request: ClientRequest;
   readonly decision: PlacementDecision;
-  /** Id of the last event that the client received. */
-  readonly lastEventId?: string;
+  readonly destination: Destination;
   /** Work of this attempt in the ledgers of its engines. */
   readonly claim: PlacementClaim;
-  /** KV memory reserved for the request, the responding engine's first. */
-  readonly reservations: readonly MemoryReservation[];
   /** Time to the response head, or first event, before `onSilent` is called. */
   readonly responseHeadTimeoutMs: number;
   /** Ends the attempt; the reason is an `AbortReason`. */
@@ -48,7 +39,7 @@
 }
 
 /**
- * Sends a request to one backend server and receives the response. Subclasses
+ * Sends a request to one destination and receives the response. Subclasses
  * decide how the body is forwarded to the client.
  */
 export abstract class Attempt {
@@ -103,7 +94,7 @@
 
   private reportSilence(timeoutMs: number): void {
     this.isSilent = true;
-    if (!this.hasResponded) this.recordLostContact();
+    if (!this.hasResponded) this.options.destination.recordNoResponse();
     this.decision.backend.failures.recordSilence(monotonicMs());
     this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
   }
@@ -158,14 +149,10 @@
   protected handleExchangeError(error: ExchangeError): AttemptResult {
     const {signal} = this.options;
     if (signal.aborted) return createAbortedResult(signal);
-    const {failures, presence} = this.decision.backend;
-    failures.eject(monotonicMs());
-    if (!this.hasResponded) this.recordLostContact();
-    if (error.isConnectTimeout) {
-      const {failureDomain, id} = presence;
-      const {reachability: reach} = this.components.backends;
-      reach.recordConnectTimeout(failureDomain, id, monotonicMs());
-    }
+    const {destination} = this.options;
+    this.decision.backend.failures.eject(monotonicMs());
+    if (!this.hasResponded) destination.recordNoResponse();
+    if (error.isConnectTimeout) destination.recordConnectTimeout();
     const outcome = error.mayHaveBeenSent
       ? AttemptOutcome.Incomplete
       : AttemptOutcome.NotSent;
@@ -176,54 +163,15 @@
     };
   }
 
-  private recordLostContact(): void {
-    const {service, id} = this.decision.backend.presence;
-    const {reach, backends} = this.components;
-    const {length} = backends.candidates(service);
-    reach.recordFailure(service, id, length, monotonicMs());
-  }
-
-  /** Lists the helpers; engines with a reservation come first, in order. */
-  private listHelpers(): PrefillHelper[] {
-    const {decision, options} = this;
-    const reservedHelpers = options.reservations.map(
-      ({backend, reservationId}): PrefillHelper => ({
-        address: backend.presence.address,
-        reservationId,
-      }),
-    );
-    const otherHelpers = decision.helpers
-      .filter(
-        helper => !options.reservations.some(({backend}) => backend === helper),
-      )
-      .map(({presence}) => ({address: presence.address}));
-    return [...reservedHelpers, ...otherHelpers];
-  }
-
   private sendRequest(): Exchange {
-    const {request, decision, components, options} = this;
-    const {backend} = decision;
+    const {request, decision, components} = this;
     const remainingMs = Math.max(
       1,
       Math.floor(request.deadlineMs - monotonicMs()),
     );
-    const {req, body} = request;
-    const exchangeRequest: ExchangeRequest = {
-      method: (req.method ?? 'GET') as ExchangeRequest['method'],
-      path: req.url ?? '/',
-      headers: components.dialect.writeRequest(
-        endToEndHeaders(req.rawHeaders),
-        {
-          backendId: backend.presence.id,
-          remainingMs,
-          workspace: request.workspace,
-          lastEventId: options.lastEventId,
-          helpers: this.listHelpers(),
-        },
-      ),
-      body: body.length > 0 ? body : undefined,
-    };
-    return components.connections.poolFor(backend).send(exchangeRequest, true);
+    return components.connections
+      .poolFor(decision.backend)
+      .send(this.options.destination.createRequest(remainingMs), true);
   }
 
   private async receiveResponse(exchange: Exchange): Promise<AttemptResult> {
@@ -231,24 +179,13 @@
     const result = await exchange.head();
     if (!result.ok) return this.handleExchangeError(result.error);
     this.recordBytes();
-    const head = result.value;
-    const metadata = this.components.dialect.readResponse(
-      head.status,
-      head.headers,
-      this.request.metadata.requestId,
-    );
-    const {backend} = this.decision;
-    const {service, id, failureDomain} = backend.presence;
     this.hasResponded = true;
-    this.components.reach.recordContact(service, id, monotonicMs());
-    this.components.backends.reachability.recordResponse(failureDomain);
-    if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
-    this.learnRequestLimit(metadata);
-    const rejection = this.checkResponse(metadata);
+    const head = result.value;
+    const rejection = this.options.destination.readHead(head);
     if (rejection) return rejection;
     if (head.status < MIN_SERVER_ERROR_STATUS)
       return this.forwardResponse(exchange, head);
-    backend.failures.recordFailure(monotonicMs());
+    this.decision.backend.failures.recordFailure(monotonicMs());
     const body = await this.readBody(exchange);
     if (!Buffer.isBuffer(body)) return this.handleExchangeError(body);
     const reason = `backend server answered ${head.status}`;
@@ -258,64 +195,4 @@
       failureResponse: {head, body},
     };
   }
-
-  /** A refusal may omit the limit, and does not end one. */
-  private learnRequestLimit({
-    verdict,
-    requestLimitPerS,
-  }: ResponseMetadata): void {
-    const isRefusal = verdict === ResponseVerdict.NotRun;
-    if (verdict !== ResponseVerdict.Valid && !isRefusal) return;
-    if (isRefusal && requestLimitPerS === undefined) return;
-    this.components.requestLimits.learn(
-      this.decision.backend,
-      requestLimitPerS,
-      this.startedMs,
-    );
-  }
-
-  /** Finds the helper at an address, other than the responding engine. */
-  private findHelper(address: string | undefined): Backend | undefined {
-    if (address === undefined) return undefined;
-    return this.decision.work
-      .map(({backend}) => backend)
-      .find(
-        backend =>
-          backend !== this.decision.backend &&
-          formatAddress(backend.presence.address) === address,
-      );
-  }
-
-  /** Returns the result of the attempt if the response is not genuine. */
-  private checkResponse(metadata: ResponseMetadata): AttemptResult | undefined {
-    const {verdict} = metadata;
-    const faultyHelper = this.findHelper(metadata.failedHelperAddress);
-    if (faultyHelper && verdict !== ResponseVerdict.Valid) {
-      faultyHelper.failures.eject(monotonicMs());
-      const reason = `helper ${faultyHelper.presence.id} is at fault`;
-      return {outcome: AttemptOutcome.NotRun, reason, faultyHelper};
-    }
-    const {failures} = this.decision.backend;
-    switch (verdict) {
-      case ResponseVerdict.Valid:
-        return undefined;
-      case ResponseVerdict.NotRun:
-        return {
-          outcome: AttemptOutcome.NotRun,
-          reason: 'backend server refused',
-        };
-      case ResponseVerdict.Misdirected:
-        failures.eject(monotonicMs());
-        return {
-          outcome: AttemptOutcome.NotRun,
-          reason: 'address of another server',
-        };
-      case ResponseVerdict.Invalid:
-        failures.eject(monotonicMs());
-        return {
-          outcome: AttemptOutcome.Incomplete,
-          reason: 'not an answer to the request',
-        };
-    }
-  }
 }
--- /dev/null
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -0,0 +1,162 @@
+import {formatAddress, monotonicMs} from '@vanillamux/shared';
+import type {ExchangeRequest} from '../connection/exchange_request.js';
+import type {ResponseHead} from '../connection/response_head.js';
+import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
+import type {PrefillHelper} from '../dialect/prefill_helper.js';
+import type {ResponseMetadata} from '../dialect/response_metadata.js';
+import {ResponseVerdict} from '../dialect/response_verdict.js';
+import type {Backend} from '../fleet/backend.js';
+import type {MemoryReservation} from '../memory/memory_reservation.js';
+import type {PlacementDecision} from '../placement/placement_decision.js';
+import {AttemptOutcome} from './attempt_outcome.js';
+import type {AttemptResult} from './attempt_result.js';
+import type {ClientRequest} from './client_request.js';
+import {Destination} from './destination.js';
+import type {GatewayComponents} from './gateway_components.js';
+
+/** Options of a `BackendDestination`. */
+export interface BackendDestinationOptions {
+  readonly components: GatewayComponents;
+  readonly request: ClientRequest;
+  readonly decision: PlacementDecision;
+  /** KV memory reserved for the request, the responding engine's first. */
+  readonly reservations: readonly MemoryReservation[];
+  /** Id of the last event that the client received. */
+  readonly lastEventId?: string;
+}
+
+/** A backend server. */
+export class BackendDestination extends Destination {
+  private readonly startedMs = monotonicMs();
+
+  constructor(private readonly options: BackendDestinationOptions) {
+    super();
+  }
+
+  createRequest(remainingMs: number): ExchangeRequest {
+    const {components, request, decision, lastEventId} = this.options;
+    const {req, body} = request;
+    return {
+      method: (req.method ?? 'GET') as ExchangeRequest['method'],
+      path: req.url ?? '/',
+      headers: components.dialect.writeRequest(
+        endToEndHeaders(req.rawHeaders),
+        {
+          backendId: decision.backend.presence.id,
+          remainingMs,
+          workspace: request.workspace,
+          lastEventId,
+          helpers: this.listHelpers(),
+        },
+      ),
+      body: body.length > 0 ? body : undefined,
+    };
+  }
+
+  readHead({status, headers}: ResponseHead): AttemptResult | undefined {
+    const {components, request, decision} = this.options;
+    const {backend} = decision;
+    const {service, id, failureDomain} = backend.presence;
+    const metadata = components.dialect.readResponse(
+      status,
+      headers,
+      request.metadata.requestId,
+    );
+    components.reach.recordContact(service, id, monotonicMs());
+    components.backends.reachability.recordResponse(failureDomain);
+    if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
+    this.learnRequestLimit(metadata);
+    return this.checkResponse(metadata);
+  }
+
+  recordNoResponse(): void {
+    const {components, decision} = this.options;
+    const {service, id} = decision.backend.presence;
+    const {length} = components.backends.candidates(service);
+    components.reach.recordFailure(service, id, length, monotonicMs());
+  }
+
+  recordConnectTimeout(): void {
+    const {components, decision} = this.options;
+    const {failureDomain, id} = decision.backend.presence;
+    const {reachability} = components.backends;
+    reachability.recordConnectTimeout(failureDomain, id, monotonicMs());
+  }
+
+  /** Lists the helpers; engines with a reservation come first, in order. */
+  private listHelpers(): PrefillHelper[] {
+    const {decision, reservations} = this.options;
+    const reservedHelpers = reservations.map(
+      ({backend, reservationId}): PrefillHelper => ({
+        address: backend.presence.address,
+        reservationId,
+      }),
+    );
+    const otherHelpers = decision.helpers
+      .filter(helper => !reservations.some(({backend}) => backend === helper))
+      .map(({presence}) => ({address: presence.address}));
+    return [...reservedHelpers, ...otherHelpers];
+  }
+
+  /** A refusal may omit the limit, and does not end one. */
+  private learnRequestLimit({
+    verdict,
+    requestLimitPerS,
+  }: ResponseMetadata): void {
+    const isRefusal = verdict === ResponseVerdict.NotRun;
+    if (verdict !== ResponseVerdict.Valid && !isRefusal) return;
+    if (isRefusal && requestLimitPerS === undefined) return;
+    const {components, decision} = this.options;
+    components.requestLimits.learn(
+      decision.backend,
+      requestLimitPerS,
+      this.startedMs,
+    );
+  }
+
+  /** Finds the helper at an address, other than the responding engine. */
+  private findHelper(address: string | undefined): Backend | undefined {
+    if (address === undefined) return undefined;
+    const {decision} = this.options;
+    return decision.work
+      .map(({backend}) => backend)
+      .find(
+        backend =>
+          backend !== decision.backend &&
+          formatAddress(backend.presence.address) === address,
+      );
+  }
+
+  /** Returns the result of the attempt if the response is not genuine. */
+  private checkResponse(metadata: ResponseMetadata): AttemptResult | undefined {
+    const {verdict} = metadata;
+    const faultyHelper = this.findHelper(metadata.failedHelperAddress);
+    if (faultyHelper && verdict !== ResponseVerdict.Valid) {
+      faultyHelper.failures.eject(monotonicMs());
+      const reason = `helper ${faultyHelper.presence.id} is at fault`;
+      return {outcome: AttemptOutcome.NotRun, reason, faultyHelper};
+    }
+    const {failures} = this.options.decision.backend;
+    switch (verdict) {
+      case ResponseVerdict.Valid:
+        return undefined;
+      case ResponseVerdict.NotRun:
+        return {
+          outcome: AttemptOutcome.NotRun,
+          reason: 'backend server refused',
+        };
+      case ResponseVerdict.Misdirected:
+        failures.eject(monotonicMs());
+        return {
+          outcome: AttemptOutcome.NotRun,
+          reason: 'address of another server',
+        };
+      case ResponseVerdict.Invalid:
+        failures.eject(monotonicMs());
+        return {
+          outcome: AttemptOutcome.Incomplete,
+          reason: 'not an answer to the request',
+        };
+    }
+  }
+}
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -11,6 +11,7 @@
 import type {AttemptResult} from './attempt_result.js';
 import {responseHeadTimeoutMs} from './response_head_timeout_ms.js';
 import {pauseTimeoutMs} from './pause_timeout_ms.js';
+import {BackendDestination} from './backend_destination.js';
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {PlacementClaim} from './placement_claim.js';
@@ -318,11 +319,16 @@
     });
     const options: AttemptOptions = {
       claim,
-      reservations,
       components: this.components,
       request: this.request,
       decision,
-      lastEventId: this.progress.lastEventId,
+      destination: new BackendDestination({
+        components: this.components,
+        request: this.request,
+        decision,
+        reservations,
+        lastEventId: this.progress.lastEventId,
+      }),
       responseHeadTimeoutMs: responseHeadTimeoutMs(this.request, isLastAttempt),
       signal,
       onSilent: reason => {
