--- a/packages/gateway/src/reach/peer_reach.ts
+++ b/packages/gateway/src/reach/peer_reach.ts
@@ -61,7 +61,11 @@
       this.peers.delete(from);
       return;
     }
-    const untilMs = monotonicMs() + NOTICE_TTL_MS;
+    const nowMs = monotonicMs();
+    for (const [id, state] of this.peers) {
+      if (nowMs > state.untilMs) this.peers.delete(id);
+    }
+    const untilMs = nowMs + NOTICE_TTL_MS;
     this.peers.set(from, {lost: new Set(notice.lost), untilMs});
   }
 }
