--- a/packages/gateway/src/reach/service_reach.ts
+++ b/packages/gateway/src/reach/service_reach.ts
@@ -86,7 +86,7 @@
   /** Records that probes of a lost service have failed as well. */
   confirmLoss(service: string): void {
     const evidence = this.services.get(service);
-    if (evidence) evidence.isConfirmed = true;
+    if (evidence?.lostMs !== undefined) evidence.isConfirmed = true;
   }
 
   /** Whether the service is lost and probes have failed as well. */
