--- a/packages/consensus/__tests__/fake_network.ts
+++ b/packages/consensus/__tests__/fake_network.ts
@@ -121,6 +121,9 @@
     if (this.isLost(from, to)) return this.timeOut(timeoutMs);
     const node = this.nodes.get(to);
     if (!node) return this.timeOut(timeoutMs);
+    if (node.selfId !== to) {
+      return fail(new VmuxError(ErrorCodes.NotFound));
+    }
     if (this.random() < this.conditions.duplication) {
       void this.delay().then(() => handle(node).catch(() => undefined));
     }
--- a/packages/consensus/__tests__/repair.test.ts
+++ b/packages/consensus/__tests__/repair.test.ts
@@ -13,8 +13,11 @@
 
   afterEach(() => group.stop());
 
-  async function createGroup(ids: readonly string[]): Promise<void> {
-    group = new TestGroup(Math.random);
+  async function createGroup(
+    ids: readonly string[],
+    options: {snapshotEntries?: number; trailingEntries?: number} = {},
+  ): Promise<void> {
+    group = new TestGroup(Math.random, options);
     await group.form(ids);
     await group.waitUntil(
       'a leader is elected',
@@ -65,6 +68,24 @@
     });
   }
 
+  for (const {needs, options} of [
+    {needs: 'entries', options: {}},
+    {needs: 'a snapshot', options: {snapshotEntries: 8, trailingEntries: 2}},
+  ]) {
+    it(`notices that a member that needs ${needs} has lost its disk`, async () => {
+      await createGroup(['a/1', 'b/1', 'c/1'], options);
+      const lostId = await loseFollower();
+      for (let index = 0; index < 40; index++) await group.commit(`c${index}`);
+      const replacement = createMember(lostId.replace('/1', '/2'));
+      const {node} = await group.start(replacement, new MemoryDisk());
+      group.network.attach(lostId, node!);
+      await group.waitUntil('the leader knows it', () => {
+        const {members} = group.leader()!.node!.status();
+        return members.some(({id, isReplaced}) => id === lostId && isReplaced);
+      });
+    });
+  }
+
   it('catches up a lagging member after every member was restarted', async () => {
     await createGroup(['a/1', 'b/1', 'c/1']);
     const laggingId = [...group.members.keys()].find(
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -183,7 +183,7 @@
     error: VmuxError,
   ): void {
     this.isProbing = true;
-    this.isReplaced = error.code === ErrorCodes.NotFound;
+    this.isReplaced = isFromAnotherMember(error);
     if (entries.length === 0) return;
     this.maxCharacters = Math.max(
       Math.floor(Math.min(this.maxCharacters, characters) / 2),
@@ -199,11 +199,15 @@
   }
 
   private async sendSnapshot(signal: AbortSignal): Promise<boolean> {
-    const reply = await this.snapshots.send(signal);
-    if (!reply || !this.checkTerm(reply.term)) return false;
-    this.lastContactMs = reply.sentMs;
-    if (reply.installedIndex !== undefined) {
-      this.matchIndex = Math.max(this.matchIndex, reply.installedIndex);
+    const result = await this.snapshots.send();
+    if (signal.aborted) return false;
+    this.isReplaced = !result.ok && isFromAnotherMember(result.error);
+    if (!result.ok) return false;
+    const {term, sentMs, installedIndex} = result.value;
+    if (!this.checkTerm(term)) return false;
+    this.lastContactMs = sentMs;
+    if (installedIndex !== undefined) {
+      this.matchIndex = Math.max(this.matchIndex, installedIndex);
       this.nextIndex = this.matchIndex + 1;
     }
     this.options.onContact();
@@ -222,6 +226,11 @@
   }
 }
 
+/** Whether the process at the peer's address has another member id. */
+function isFromAnotherMember({code}: VmuxError): boolean {
+  return code === ErrorCodes.NotFound;
+}
+
 function countCharacters(entries: readonly LogEntry[]): number {
   return entries.reduce((sum, {data}) => sum + data.length, 0);
 }
--- a/packages/consensus/src/snapshot_sender.ts
+++ b/packages/consensus/src/snapshot_sender.ts
@@ -1,4 +1,4 @@
-import {getLogger, monotonicMs} from '@vanillamux/shared';
+import {getLogger, monotonicMs, succeed, type Result} from '@vanillamux/shared';
 import type {Member} from './member.js';
 import type {RaftState} from './raft_state.js';
 import type {RaftTiming} from './raft_timing.js';
@@ -52,8 +52,8 @@
     return true;
   }
 
-  /** Sends the next chunk. Returns `undefined` if there was no reply. */
-  async send(signal: AbortSignal): Promise<SnapshotProgress | undefined> {
+  /** Sends the next chunk. */
+  async send(): Promise<Result<SnapshotProgress>> {
     const {term, transport, timing, state, peer, takeSnapshot} = this.options;
     const snapshot = this.snapshot ?? this.start(await takeSnapshot());
     const sentMs = monotonicMs();
@@ -75,13 +75,14 @@
       },
       timing.callTimeoutMs * TIMEOUT_FACTOR,
     );
-    if (signal.aborted || !result.ok) return undefined;
+    if (!result.ok) return result;
     const {term: peerTerm, nextOffset} = result.value;
-    if (peerTerm > term) return {term: peerTerm, sentMs};
+    const progress = {term: peerTerm, sentMs};
+    if (peerTerm > term) return succeed(progress);
     this.offset = nextOffset;
-    if (nextOffset < snapshot.state.length) return {term: peerTerm, sentMs};
+    if (nextOffset < snapshot.state.length) return succeed(progress);
     this.snapshot = undefined;
-    return {term: peerTerm, sentMs, installedIndex: snapshot.index};
+    return succeed({...progress, installedIndex: snapshot.index});
   }
 
   private start(snapshot: Snapshot): Snapshot {
