fix(gateway): a peer that failed once still relays if there is no other

Clients of a host that is cut off beside a single peer would have been refused for 250 ms to 4 s after one failure of that peer; found when reading the change again. An ejected peer is the last resort, as an ejected backend server is. A case of relay_peers.test.ts failed before.

--- a/packages/gateway/__tests__/relay_peers.test.ts
+++ b/packages/gateway/__tests__/relay_peers.test.ts
@@ -31,6 +31,12 @@
   },
   {name: 'that was not tried', excluded: 'near', expected: 'far'},
   {name: 'that is not ejected', ejected: 'near', expected: 'far'},
+  {
+    name: 'that is ejected if there is no other',
+    ejected: 'far',
+    cutOff: 'near',
+    expected: 'far',
+  },
   {name: 'that has not lost the service', cutOff: 'near', expected: 'far'},
   {name: 'that is still there', left: 'near', expected: 'far'},
   {
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -47,7 +47,8 @@
 
   /**
    * Chooses the peer with the fewest requests of this host, in its failure
-   * domain if there are several. `isExcluded` names peers that were tried.
+   * domain if there are several; an ejected one only if there is no other.
+   * `isExcluded` names peers that were tried.
    */
   choose(
     service: string,
@@ -55,12 +56,15 @@
     nowMs: number,
   ): PlacementDecision | undefined {
     const {peerReach, failureDomain} = this.options;
-    const usable = [...this.peers.values()].filter(
+    const untried = [...this.peers.values()].filter(
       peer =>
         !isExcluded(peer) &&
-        !peer.failures.isEjected(nowMs) &&
         !peerReach.hasLost(peer.presence.id, service, nowMs),
     );
+    const available = untried.filter(
+      ({failures}) => !failures.isEjected(nowMs),
+    );
+    const usable = available.length > 0 ? available : untried;
     const rank = (peer: Backend): number =>
       2 * peer.inFlight + Number(peer.presence.failureDomain !== failureDomain);
     const lowest = Math.min(...usable.map(rank));
