--- a/packages/storage/__tests__/node_disk.test.ts
+++ b/packages/storage/__tests__/node_disk.test.ts
@@ -10,10 +10,12 @@
 describe('a folder on the file system', () => {
   let root: string;
   let syncedFolders: string[];
+  let onOpen: (handle: fs.FileHandle) => void;
 
   beforeEach(() => {
     root = mkdtempSync(join(tmpdir(), 'vmux-disk-'));
     syncedFolders = [];
+    onOpen = () => undefined;
     const openFile = fs.open.bind(fs);
     mock.method(fs, 'open', async (...args: Parameters<typeof fs.open>) => {
       const handle = await openFile(...args);
@@ -22,6 +24,7 @@
         syncedFolders.push(String(args[0]));
         await sync();
       };
+      onOpen(handle);
       return handle;
     });
     syncBuiltinESMExports();
@@ -46,6 +49,22 @@
     });
   }
 
+  it('closes the file of a replacement that fails', async () => {
+    const opened = await NodeDisk.openFolder(root);
+    assert.ok(opened.ok);
+    let isClosed = false;
+    onOpen = handle => {
+      handle.writeFile = () => Promise.reject(new Error('full'));
+      const close = handle.close.bind(handle);
+      handle.close = async () => {
+        isClosed = true;
+        await close();
+      };
+    };
+    await assert.rejects(opened.value.replace('file', Buffer.from('x')));
+    assert.ok(isClosed);
+  });
+
   it('outlives a power failure with a folder of an earlier process', async () => {
     await fs.mkdir(join(root, 'group'));
     assert.ok((await NodeDisk.openFolder(join(root, 'group'))).ok);
--- a/packages/storage/src/node_disk.ts
+++ b/packages/storage/src/node_disk.ts
@@ -69,9 +69,12 @@
   async replace(name: string, content: Uint8Array): Promise<void> {
     const temporary = `${name}.tmp`;
     const handle = await open(join(this.folder, temporary), 'w');
-    await handle.writeFile(content);
-    await handle.datasync();
-    await handle.close();
+    try {
+      await handle.writeFile(content);
+      await handle.datasync();
+    } finally {
+      await handle.close();
+    }
     await this.rename(temporary, name);
   }
 
