fix(gateway): a connection that hangs fails after 120 ms, not after up to a second

Cause: the connector of undici measures its timeout with a timer that has a resolution of half a second (TICK_MS 499).

Sockets are opened by a connector of our own with a timer of the runtime; what arrived while the host was busy comes first. connect_socket.test.ts, case 3, fails with the old connector and passes now.

--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,7 +1,6 @@
 import type {Socket} from 'node:net';
 import {Client} from 'undici';
-import type {Connector} from './connector.js';
-import {defaultConnector} from './default_connector.js';
+import {connectSocket} from './connect_socket.js';
 
 /** Idle timeout of a connection, unless the peer announces one. */
 const IDLE_TIMEOUT_MS = 8_000;
@@ -18,15 +17,11 @@
   private failed = false;
 
   /** `onClosed` is called when the connection has been closed. */
-  constructor(
-    origin: string,
-    onClosed: (connection: Connection) => void,
-    connect: Connector = defaultConnector,
-  ) {
+  constructor(origin: string, onClosed: (connection: Connection) => void) {
     this.client = new Client(origin, {
       pipelining: 1,
       connect: (options, callback) =>
-        connect(options, (...result) => {
+        connectSocket(options, (...result) => {
           this.socket = result[1] ?? undefined;
           // Registered before undici's own listener, which treats a reset as
           // the end of a response that has no length.
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -7,7 +7,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {Connection} from './connection.js';
-import type {Connector} from './connector.js';
+import type {ResolveAddress} from './resolve_address.js';
 import {Exchange} from './exchange.js';
 import type {ExchangeRequest} from './exchange_request.js';
 
@@ -19,17 +19,13 @@
  * request at a time.
  */
 export class ConnectionPool {
-  private readonly origin: string;
   private readonly idle: Connection[] = [];
   private isClosed = false;
 
-  /** `connect` opens sockets, those of undici by default. */
   constructor(
-    {host, port}: Address,
-    private readonly connect?: Connector,
-  ) {
-    this.origin = `http://${host}:${port}`;
-  }
+    private readonly address: Address,
+    private readonly resolve: ResolveAddress = unchanged => unchanged,
+  ) {}
 
   /**
    * Sends a request. An idle connection may have been reset or cut off in the
@@ -69,10 +65,12 @@
       const index = this.idle.indexOf(connection);
       if (index >= 0) this.idle.splice(index, 1);
     };
+    const {host, port} = this.resolve(this.address);
+    const origin = `http://${host}:${port}`;
     try {
-      return succeed(new Connection(this.origin, onClosed, this.connect));
+      return succeed(new Connection(origin, onClosed));
     } catch (cause) {
-      const message = `${this.origin} is not a valid address`;
+      const message = `${origin} is not a valid address`;
       return fail(new VmuxError(ErrorCodes.TransportFailed, {message, cause}));
     }
   }
--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -2,8 +2,8 @@
 import {sleep} from '@vanillamux/shared';
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
-import type {Connector} from './connector.js';
-import {defaultConnector} from './default_connector.js';
+import {connectSocket} from './connect_socket.js';
+import type {ResolveAddress} from './resolve_address.js';
 
 /** Time in which a connection that leads nowhere is reset. */
 const PROBE_HOLD_MS = 30;
@@ -12,14 +12,15 @@
 export class ConnectionPools {
   private readonly pools = new Map<Backend, ConnectionPool>();
 
-  /** `connect` opens sockets, those of undici by default. */
-  constructor(private readonly connect: Connector = defaultConnector) {}
+  constructor(
+    private readonly resolve: ResolveAddress = unchanged => unchanged,
+  ) {}
 
   /** The pool for one incarnation of a backend server. */
   poolFor(backend: Backend): ConnectionPool {
     let pool = this.pools.get(backend);
     if (!pool) {
-      pool = new ConnectionPool(backend.presence.address, this.connect);
+      pool = new ConnectionPool(backend.presence.address, this.resolve);
       this.pools.set(backend, pool);
     }
     return pool;
@@ -29,11 +30,11 @@
    * Whether a backend server accepts a connection and keeps it for a moment. No
    * request is sent on it.
    */
-  async probe({presence: {address}}: Backend): Promise<boolean> {
-    const {host: hostname, port} = address;
+  async probe({presence}: Backend): Promise<boolean> {
+    const {host: hostname, port} = this.resolve(presence.address);
     const options = {hostname, port: String(port), protocol: 'http:'};
     const socket = await new Promise<Socket | null>(resolve =>
-      this.connect(options, (...[error, opened]) =>
+      connectSocket(options, (...[error, opened]) =>
         resolve(error ? null : opened),
       ),
     );
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -16,7 +16,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {ConnectionPools} from '../connection/connection_pools.js';
-import type {Connector} from '../connection/connector.js';
+import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {BackendPool} from '../fleet/backend_pool.js';
 import {ConfigStore} from '../link/config_store.js';
@@ -82,8 +82,8 @@
   readonly dialect: Dialect;
   /** Path of the readiness probe of the load balancer. */
   readonly readinessPath: string;
-  /** Opens sockets to backend servers; those of undici by default. */
-  readonly connect?: Connector;
+  /** Maps the addresses of backend servers and peers; unchanged by default. */
+  readonly resolve?: ResolveAddress;
 }
 
 /** An entry host that forwards HTTP requests to backend servers. */
@@ -116,7 +116,7 @@
   private constructor(private readonly options: GatewayOptions) {
     const {settings, dialect} = options;
     this.config = new ConfigStore(dialect);
-    this.connections = new ConnectionPools(options.connect);
+    this.connections = new ConnectionPools(options.resolve);
     this.readiness = new Readiness(this.config);
     const {retries} = settings;
     const windowMs = retries.windowS * MS_PER_SECOND;
