--- a/packages/gateway/src/connection/connect_socket.ts
+++ b/packages/gateway/src/connection/connect_socket.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import {errors} from 'undici';
+import {ConnectTimeoutError} from './connect_timeout_error.js';
 import type {Connector} from './connector.js';
 
 /**
@@ -28,8 +28,8 @@
     // A connection that was accepted while this host was busy comes first.
     setImmediate(() => {
       if (isSettled) return;
-      const message = `no connection to ${hostname}:${port} within ${CONNECT_TIMEOUT_MS} ms`;
-      socket.destroy(new errors.ConnectTimeoutError(message));
+      const address = `${hostname}:${port}`;
+      socket.destroy(new ConnectTimeoutError(address, CONNECT_TIMEOUT_MS));
     });
   }, CONNECT_TIMEOUT_MS);
   const settle = (): boolean => {
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -13,7 +13,7 @@
 const MAX_FRAMING_BYTES = 128 * 1_024;
 /** Additional framing per byte of the body; a chunk of one byte has five. */
 const MAX_FRAMING_PER_BODY_BYTE = 8;
-const CONNECT_TIMEOUT_CODE = 'UND_ERR_CONNECT_TIMEOUT';
+const CONNECT_TIMEOUT_CODE = 'ETIMEDOUT';
 /** Errors of a connection that its peer has closed or reset. */
 const DISCONNECT_CODES = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
 
--- a/scripts/undici_client.mjs
+++ b/scripts/undici_client.mjs
@@ -1,4 +1,3 @@
-// Exports the parts of undici that the gateway uses; the index module of undici
+// Exports the part of undici that the gateway uses; the index module of undici
 // would load the whole library.
 export {default as Client} from '../node_modules/undici/lib/dispatcher/client.js';
-export {default as buildConnector} from '../node_modules/undici/lib/core/connect.js';
