feat(gateway): backend servers that leave or want a pause get no requests

Clients saw requests sent to servers that had said that they leave, and that had turned requests away with a Retry-After: neither header was read.

A departure is a fact about an incarnation that hosts exchange and that no report takes back; a pause is held at the incarnation, for this host. RequestCandidates answers for both and the request limit when this host may send. A decision is checked again after memory has been reserved. Retry-After of such refusals names the earliest end, and is spread.

--- a/packages/gateway/__tests__/endless_reservation.test.ts
+++ b/packages/gateway/__tests__/endless_reservation.test.ts
@@ -52,13 +52,18 @@
       });
       const dialect = {
         writeReservationCommand: () => ({path: '/', headers: [], body: '{}'}),
+        readResponse: () => ({}),
       } as unknown as Dialect;
       const {port} = server.address() as AddressInfo;
       const backend = new Backend(
         createPresence({address: {host: HOST, port}}),
       );
       const connections = new ConnectionPools();
-      const manager = new MemoryReservationManager(dialect, connections);
+      const manager = new MemoryReservationManager({
+        dialect,
+        connections,
+        backendSignals: {learn: () => {}},
+      });
       await manager.reserve([{backend, tokens: 1}]);
       connections.close();
       const sentBytes = await firstSentBytes;
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -19,6 +19,7 @@
     inFlight: () => 3,
     quarantinedParts: () => 1,
     limitedBackends: () => 1,
+    leavingBackends: () => 1,
     lostServices: () => 0,
     quarantinedRequests: () => 1,
     configVersion: () => 7,
--- a/packages/gateway/__tests__/memory_reservation_manager.test.ts
+++ b/packages/gateway/__tests__/memory_reservation_manager.test.ts
@@ -31,12 +31,14 @@
           head.resolve(fail(new ExchangeError(true, reason))),
       };
     };
-    const manager = new MemoryReservationManager(
-      {
+    const manager = new MemoryReservationManager({
+      dialect: {
         writeReservationCommand: () => ({path: '/', headers: [], body: ''}),
+        readResponse: () => ({}),
       } as unknown as Dialect,
-      {poolFor: () => ({send})} as unknown as ConnectionPools,
-    );
+      connections: {poolFor: () => ({send})} as unknown as ConnectionPools,
+      backendSignals: {learn: () => {}},
+    });
     const reservations = await manager.reserve([
       {backend: backend!, tokens: 1},
     ]);
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -5,6 +5,7 @@
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {getLogger, monotonicMs, sleep, succeed} from '@vanillamux/shared';
 import {RouteTable} from '../src/config/route_table.js';
+import {DepartureTable} from '../src/departures/departure_table.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestHandler} from '../src/request/request_handler.js';
@@ -139,7 +140,9 @@
         isUnreachable: () => false,
         recordResponse: () => undefined,
       },
+      departures: new DepartureTable(),
     },
+    backendSignals: {learn: () => undefined},
     connections: createConnections(async () => succeed(chunks.shift())),
     placements: {
       for: () => ({
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -10,6 +10,7 @@
 import type {ResponseHead} from '../src/connection/response_head.js';
 import type {Exchange} from '../src/connection/exchange.js';
 import {ExchangeError} from '../src/connection/exchange_error.js';
+import {DepartureTable} from '../src/departures/departure_table.js';
 import type {Backend} from '../src/fleet/backend.js';
 import type {ClientRequest} from '../src/request/client_request.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
@@ -43,6 +44,7 @@
     backends: {
       candidates: () => backends,
       reachability: {isUnreachable: () => false},
+      departures: new DepartureTable(),
     },
     placements: {
       for: () => ({
--- a/packages/gateway/src/dialect/response_metadata.ts
+++ b/packages/gateway/src/dialect/response_metadata.ts
@@ -10,6 +10,13 @@
    * `undefined` if it names no limit.
    */
   readonly requestLimitPerS?: number;
+  /** Whether the backend server says that it leaves. */
+  readonly isLeaving?: boolean;
+  /**
+   * Time for which the backend server, which has turned the request away, wants
+   * no further one from this host, in milliseconds.
+   */
+  readonly pauseMs?: number;
   /** Address of the helper that failed, if the response names one. */
   readonly failedHelperAddress?: string;
 }
--- a/packages/gateway/src/fleet/backend.ts
+++ b/packages/gateway/src/fleet/backend.ts
@@ -1,6 +1,7 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import type {LoadReport} from '../dialect/load_report.js';
 import {FailureTracker} from './failure_tracker.js';
+import {RequestPause} from './request_pause.js';
 import {WorkTracker} from './work_tracker.js';
 
 /** Age at which a load report has lost all its weight. */
@@ -10,6 +11,7 @@
 export class Backend {
   readonly failures = new FailureTracker();
   readonly work = new WorkTracker();
+  readonly pause = new RequestPause();
   /** Requests of this host that have not ended. */
   inFlight = 0;
   private loadReport?: LoadReport;
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -2,6 +2,7 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {EventBus, getLogger} from '@vanillamux/shared';
 import type {Stream} from 'most';
+import {DepartureTable} from '../departures/departure_table.js';
 import {Backend} from './backend.js';
 import {DomainReachability} from './domain_reachability.js';
 
@@ -13,6 +14,8 @@
   private readonly backends = new Map<string, Backend>();
   private readonly backendsByService = new Map<string, Set<Backend>>();
   readonly reachability = new DomainReachability();
+  /** Backend servers that have said that they leave; no candidates. */
+  readonly departures = new DepartureTable();
   private readonly endedBus = new EventBus<Backend>();
 
   /** Streams the backend servers whose incarnation has ended. */
@@ -34,7 +37,9 @@
    * their connection to the control hosts.
    */
   candidates(service: string): Backend[] {
-    const all = [...(this.backendsByService.get(service) ?? [])];
+    const all = [...(this.backendsByService.get(service) ?? [])].filter(
+      ({presence}) => !this.departures.has(presence),
+    );
     const ready = all.filter(({isReady}) => isReady);
     if (ready.length > 0) return ready;
     return all.filter(({presence}) => presence.state === PresenceState.Silent);
@@ -88,6 +93,7 @@
     const {id, service} = backend.presence;
     this.backends.delete(id);
     this.backendsByService.get(service)?.delete(backend);
+    this.departures.remove(backend.presence);
     this.endedBus.emit(backend);
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -12,6 +12,7 @@
 export {ResponseVerdict} from './dialect/response_verdict.js';
 export {type AttemptMetadata} from './dialect/attempt_metadata.js';
 export {Dialect} from './dialect/dialect.js';
+export {readRetryAfterMs} from './dialect/read_retry_after_ms.js';
 export {type PrefillHelper} from './dialect/prefill_helper.js';
 export {type LoadReport} from './dialect/load_report.js';
 export {type RelayMetadata} from './dialect/relay_metadata.js';
--- a/packages/gateway/src/memory/memory_reservation_manager.ts
+++ b/packages/gateway/src/memory/memory_reservation_manager.ts
@@ -1,7 +1,9 @@
 import {randomUUID} from 'node:crypto';
 import {getLogger, sleep} from '@vanillamux/shared';
 import type {ConnectionPools} from '../connection/connection_pools.js';
+import type {ResponseHead} from '../connection/response_head.js';
 import type {Dialect} from '../dialect/dialect.js';
+import type {BackendSignals} from '../fleet/backend_signals.js';
 import type {MemoryShare} from '../placement/memory_share.js';
 import type {MemoryReservation} from './memory_reservation.js';
 
@@ -16,18 +18,23 @@
 const ORDER_TIMEOUT_MS = 600;
 const MAX_RELEASE_ATTEMPTS = 3;
 const OK_STATUS = 200;
+const STATUS_MISDIRECTED = 421;
 
 const log = getLogger('memory');
 
+/** Options of a `MemoryReservationManager`. */
+export interface MemoryReservationManagerOptions {
+  readonly dialect: Dialect;
+  readonly connections: ConnectionPools;
+  readonly backendSignals: Pick<BackendSignals, 'learn'>;
+}
+
 /**
  * Reserves KV memory on several engines for contexts that exceed the memory of
  * one engine.
  */
 export class MemoryReservationManager {
-  constructor(
-    private readonly dialect: Dialect,
-    private readonly connections: ConnectionPools,
-  ) {}
+  constructor(private readonly options: MemoryReservationManagerOptions) {}
 
   /**
    * Reserves all of the shares or none. Returns `undefined` when an engine has
@@ -118,13 +125,13 @@
     tokens?: number,
   ): Promise<boolean> {
     const {backend, reservationId} = reservation;
-    const {path, headers, body} = this.dialect.writeReservationCommand({
+    const {path, headers, body} = this.options.dialect.writeReservationCommand({
       reservationId,
       tokens,
       leaseMs: LEASE_MS,
       backendId: backend.presence.id,
     });
-    const exchange = this.connections
+    const exchange = this.options.connections
       .poolFor(backend)
       .send({method: 'POST', path, headers, body: Buffer.from(body)});
     const timer = setTimeout(
@@ -132,9 +139,22 @@
       ORDER_TIMEOUT_MS,
     );
     const result = await exchange.head();
-    if (result.ok) await exchange.read();
+    if (result.ok) {
+      this.learnSignals(reservation, result.value);
+      await exchange.read();
+    }
     clearTimeout(timer);
     exchange.cancel('order ended');
     return result.ok && result.value.status === OK_STATUS;
   }
+
+  private learnSignals(
+    {backend, reservationId}: MemoryReservation,
+    {status, headers}: ResponseHead,
+  ): void {
+    if (status === STATUS_MISDIRECTED) return;
+    const {dialect, backendSignals} = this.options;
+    const metadata = dialect.readResponse(status, headers, reservationId);
+    backendSignals.learn(backend, metadata, reservationId);
+  }
 }
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -13,6 +13,7 @@
   type Result,
 } from '@vanillamux/shared';
 import type {Stream} from 'most';
+import type {DepartureNotice} from '../departures/departure_notice.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
@@ -43,6 +44,7 @@
   private readonly socket: Socket = createSocket('udp4');
   private readonly quarantineBus = new EventBus<QuarantineNotice>();
   private readonly limitBus = new EventBus<ReceivedLimitNotice>();
+  private readonly departureBus = new EventBus<DepartureNotice>();
   private readonly reachBus = new EventBus<ReceivedReachNotice>();
   private readonly syncBus = new EventBus<ReceivedSyncNotice>();
   private peers: readonly EntryPeer[] = [];
@@ -152,6 +154,11 @@
     return this.limitBus.stream();
   }
 
+  /** Streams the notices of other hosts about backend servers that leave. */
+  departureNotices(): Stream<DepartureNotice> {
+    return this.departureBus.stream();
+  }
+
   /** Streams the notices of other hosts about services that they have lost. */
   reachNotices(): Stream<ReceivedReachNotice> {
     return this.reachBus.stream();
@@ -171,6 +178,7 @@
   private createFactsNotice({
     quarantine,
     limits,
+    departures,
     reach,
     sync,
   }: PeerFacts): PlacementNotice {
@@ -187,6 +195,7 @@
         ...quarantine,
       },
       limits: limits && {facts: [], ...limits},
+      departures,
       reach,
       sync,
     };
@@ -223,6 +232,7 @@
     }
     if (notice.quarantine) this.quarantineBus.emit(notice.quarantine);
     if (notice.limits) this.limitBus.emit({replyTo, notice: notice.limits});
+    if (notice.departures) this.departureBus.emit(notice.departures);
     if (notice.reach)
       this.reachBus.emit({from: notice.from, notice: notice.reach});
     // Emitted last, so that a reply has been applied.
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {departureNoticeSchema} from '../departures/departure_notice_schema.js';
 import {requestLimitNoticeSchema} from '../request_limits/request_limit_notice_schema.js';
 import {reachNoticeSchema} from '../reach/reach_notice_schema.js';
 import {quarantineNoticeSchema} from '../quarantine/quarantine_notice_schema.js';
@@ -31,6 +32,8 @@
   quarantine: quarantineNoticeSchema.optional(),
   /** Request limits of backend servers, and permits for them. */
   limits: requestLimitNoticeSchema.optional(),
+  /** Backend servers that leave. */
+  departures: departureNoticeSchema.optional(),
   /** Services that the sender does not reach. */
   reach: reachNoticeSchema.optional(),
   /** A request for what the receiver knows, or a reply to one. */
--- a/packages/gateway/src/relay/peer_destination.ts
+++ b/packages/gateway/src/relay/peer_destination.ts
@@ -2,6 +2,7 @@
 import type {ExchangeRequest} from '../connection/exchange_request.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
+import {readRetryAfterMs} from '../dialect/read_retry_after_ms.js';
 import {ResponseVerdict} from '../dialect/response_verdict.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from '../request/attempt_outcome.js';
@@ -13,8 +14,6 @@
 import {RelayOutcome} from './relay_outcome.js';
 import {formatRelaySource} from './relay_source.js';
 
-const MS_PER_SECOND = 1_000;
-
 /** Options of a `PeerDestination`. */
 export interface PeerDestinationOptions {
   readonly components: Pick<GatewayComponents, 'dialect'>;
@@ -82,8 +81,3 @@
   /** The peer is ejected; it says nothing of its failure domain. */
   recordConnectTimeout(): void {}
 }
-
-function readRetryAfterMs(value: string | undefined): number | undefined {
-  const seconds = Number(value);
-  return Number.isFinite(seconds) ? seconds * MS_PER_SECOND : undefined;
-}
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -66,6 +66,7 @@
     components.backends.reachability.recordResponse(failureDomain);
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
     this.learnRequestLimit(metadata);
+    this.learnSignals(metadata);
     return this.checkResponse(metadata);
   }
 
@@ -114,6 +115,16 @@
     );
   }
 
+  private learnSignals(metadata: ResponseMetadata): void {
+    const {verdict} = metadata;
+    const isOwn =
+      verdict === ResponseVerdict.Valid || verdict === ResponseVerdict.NotRun;
+    if (!isOwn) return;
+    const {components, decision, request} = this.options;
+    const {requestId} = request.metadata;
+    components.backendSignals.learn(decision.backend, metadata, requestId);
+  }
+
   /** Finds the helper at an address, other than the responding engine. */
   private findHelper(address: string | undefined): Backend | undefined {
     if (address === undefined) return undefined;
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -1,6 +1,7 @@
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
+import type {BackendSignals} from '../fleet/backend_signals.js';
 import type {ConfigStore} from '../link/config_store.js';
 import type {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import type {FactSync} from '../peers/fact_sync.js';
@@ -27,6 +28,7 @@
   readonly notices: PeerNotices;
   readonly quarantine: QuarantineManager;
   readonly requestLimits: RequestLimitManager;
+  readonly backendSignals: BackendSignals;
   readonly reach: ServiceReach;
   readonly relayPeers: RelayPeers;
   readonly relayGate: RelayGate;
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -14,7 +14,7 @@
 
 /**
  * Backend servers that the next attempt of a request may use: those that no
- * attempt has used, as far as their request limits allow.
+ * attempt has used, as far as their request limits and pauses allow.
  */
 export class RequestCandidates {
   private readonly attempted = new Set<Backend>();
@@ -58,33 +58,47 @@
   }
 
   /**
-   * Time until one of the backend servers that are left may have a permit, in
-   * milliseconds; `undefined` unless request limits alone exclude all of them.
+   * Whether request limits and pauses alone exclude all of the backend servers
+   * that are left.
    */
-  limitWaitMs(nowMs: number): number | undefined {
+  areAllHeld(nowMs: number): boolean {
     const left = this.unattempted();
-    const areHeldByLimits =
+    return (
       left.length > 0 &&
-      !left.some(backend => this.mayBePermitted(backend, nowMs));
-    if (!areHeldByLimits) return undefined;
-    const {requestLimits} = this.options.components;
-    return Math.min(
-      ...left.map(backend => requestLimits.waitMs(backend, nowMs)),
+      !left.some(backend => this.mayBePermitted(backend, nowMs))
     );
   }
 
   /**
-   * Returns the engines of a decision that require a permit: the responding
-   * one, helpers, and those that reserve memory.
+   * Time until a backend server of the service, attempted or not, may take a
+   * request, in milliseconds; 0 if one may now, or none is known.
    */
-  limitedEngines({backend, helpers, memory}: PlacementDecision): Backend[] {
-    const engines = new Set([
-      backend,
-      ...helpers,
-      ...memory.map(share => share.backend),
-    ]);
+  availableInMs(nowMs: number): number {
+    const {components, service} = this.options;
+    const waitsMs = components.backends
+      .candidates(service)
+      .map(backend => this.waitMs(backend, nowMs));
+    return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
+  }
+
+  /**
+   * Whether engines of a decision have said since it was made that they leave
+   * or want a pause.
+   */
+  isOutdated(decision: PlacementDecision, nowMs: number): boolean {
+    const {departures} = this.options.components.backends;
+    return listEngines(decision).some(
+      ({pause, presence}) =>
+        pause.remainingMs(nowMs) > 0 || departures.has(presence),
+    );
+  }
+
+  /** Returns the engines of a decision that require a permit. */
+  limitedEngines(decision: PlacementDecision): Backend[] {
     const {requestLimits} = this.options.components;
-    return [...engines].filter(engine => requestLimits.isLimited(engine));
+    return listEngines(decision).filter(engine =>
+      requestLimits.isLimited(engine),
+    );
   }
 
   /** Acquires a permit for each of the engines. Returns whether it has all. */
@@ -105,11 +119,29 @@
       .filter(backend => !this.attempted.has(backend));
   }
 
-  /** Whether the backend server has no request limit, or may have a permit. */
+  /** Whether this host may send to the backend server, or ask for a permit. */
   private mayBePermitted(backend: Backend, nowMs: number): boolean {
+    if (this.waitMs(backend, nowMs) > 0) return false;
     const {requestLimits} = this.options.components;
-    return this.deniedPermits < MAX_DENIED_PERMITS
-      ? requestLimits.waitMs(backend, nowMs) === 0
-      : !requestLimits.isLimited(backend);
+    return (
+      this.deniedPermits < MAX_DENIED_PERMITS ||
+      !requestLimits.isLimited(backend)
+    );
   }
+
+  /** Time until this host may send to the backend server, in milliseconds. */
+  private waitMs(backend: Backend, nowMs: number): number {
+    const {requestLimits} = this.options.components;
+    return Math.max(
+      backend.pause.remainingMs(nowMs),
+      requestLimits.waitMs(backend, nowMs),
+    );
+  }
+}
+
+/** Lists the engines of a decision: responding, helping, reserving memory. */
+function listEngines({backend, helpers, memory}: PlacementDecision): Backend[] {
+  return [
+    ...new Set([backend, ...helpers, ...memory.map(share => share.backend)]),
+  ];
 }
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -26,6 +26,7 @@
 import {RunningAttempts, type EndedAttempt} from './running_attempts.js';
 import {sendErrorResponse} from './send_error_response.js';
 import {StreamAttempt} from './stream_attempt.js';
+import {spreadRetryAfterMs} from './spread_retry_after_ms.js';
 import type {StreamProgress} from './stream_progress.js';
 import {BufferedAttempt} from './buffered_attempt.js';
 
@@ -167,11 +168,15 @@
         return undefined;
       }
       if (this.hasLostService) return 'no entry host reaches the service';
-      const limitWaitMs = this.candidates.limitWaitMs(monotonicMs());
-      if (limitWaitMs !== undefined) {
-        this.retryAfterMs = Math.max(RETRY_AFTER_MS, Math.ceil(limitWaitMs));
-        return 'every backend server has reached its request limit';
-      }
+      const nowMs = monotonicMs();
+      const availableInMs = this.candidates.availableInMs(nowMs);
+      if (availableInMs > 0)
+        this.retryAfterMs = Math.max(
+          RETRY_AFTER_MS,
+          spreadRetryAfterMs(availableInMs),
+        );
+      if (this.candidates.areAllHeld(nowMs))
+        return 'every backend server is held by its request limit or a pause';
       const isWaiting = this.running.size === 0 && this.mayWaitForBackend;
       if (!isWaiting) {
         return this.candidates.hasAttempted
@@ -298,12 +303,7 @@
       const reservations = await this.reserveMemory(decision);
       if (reservations && reservations.length > 0)
         void this.components.memory.renew(reservations, finished.signal);
-      result = reservations
-        ? await this.sendRequest(attempt, reservations, claim)
-        : {
-            outcome: AttemptOutcome.NotSent,
-            reason: 'no memory for the context',
-          };
+      result = await this.sendReserved(attempt, reservations, claim);
     } finally {
       claim.release();
       finished.abort();
@@ -335,6 +335,19 @@
     return memory.length === 0 ? [] : this.components.memory.reserve(memory);
   }
 
+  /** Sends the request unless its engines can't take it any more. */
+  private async sendReserved(
+    attempt: RunningAttempt,
+    reservations: readonly MemoryReservation[] | undefined,
+    claim: PlacementClaim,
+  ): Promise<AttemptResult> {
+    const outcome = AttemptOutcome.NotSent;
+    if (!reservations) return {outcome, reason: 'no memory for the context'};
+    if (this.candidates.isOutdated(attempt.decision, monotonicMs()))
+      return {outcome, reason: 'an engine leaves or wants a pause'};
+    return this.sendRequest(attempt, reservations, claim);
+  }
+
   private async sendRequest(
     attempt: RunningAttempt,
     reservations: readonly MemoryReservation[],
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -18,7 +18,9 @@
 import {ConnectionPools} from '../connection/connection_pools.js';
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
+import {DepartureManager} from '../departures/departure_manager.js';
 import {BackendPool} from '../fleet/backend_pool.js';
+import {BackendSignals} from '../fleet/backend_signals.js';
 import {ConfigStore} from '../link/config_store.js';
 import {ControlLinks} from '../link/control_links.js';
 import type {LinkListener} from '../link/link_listener.js';
@@ -101,6 +103,7 @@
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
   private readonly requestLimits: RequestLimitManager;
+  private readonly departures: DepartureManager;
   private readonly reach = new ServiceReach();
   private readonly factSync: FactSync;
   private readonly relayPeers: RelayPeers;
@@ -158,6 +161,10 @@
       metrics: this.metrics,
       hostIds: this.hostIds,
     });
+    this.departures = new DepartureManager({
+      notices: this.notices,
+      backends: this.backends,
+    });
     const peerReach = new PeerReach({
       notices: this.notices,
       reach: this.reach,
@@ -174,7 +181,12 @@
     });
     this.factSync = new FactSync({
       notices: this.notices,
-      sources: [this.quarantine, this.requestLimits, peerReach],
+      sources: [
+        this.quarantine,
+        this.requestLimits,
+        this.departures,
+        peerReach,
+      ],
     });
     this.handler = new RequestHandler(this.createParts());
     this.clientServer = this.createServer((req, res) =>
@@ -300,6 +312,10 @@
 
   private createParts(): GatewayComponents {
     const {settings, dialect} = this.options;
+    const backendSignals = new BackendSignals({
+      departures: this.departures,
+      metrics: this.metrics,
+    });
     return {
       dialect,
       configStore: this.config,
@@ -311,10 +327,15 @@
       ),
       retryBudget: this.retryBudget,
       requestRecorder: new RequestRecorder(this.recorder),
-      memory: new MemoryReservationManager(dialect, this.connections),
+      memory: new MemoryReservationManager({
+        dialect,
+        connections: this.connections,
+        backendSignals,
+      }),
       notices: this.notices,
       quarantine: this.quarantine,
       requestLimits: this.requestLimits,
+      backendSignals,
       reach: this.reach,
       relayPeers: this.relayPeers,
       relayGate: new RelayGate({
@@ -337,6 +358,7 @@
       quarantinedParts: () => this.quarantine.partCount,
       quarantinedRequests: () => this.quarantine.requestCount,
       limitedBackends: () => this.requestLimits.size,
+      leavingBackends: () => this.backends.departures.size,
       lostServices: () => this.reach.lostServices().length,
       controlHosts: () => this.links.hosts().length,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -14,6 +14,8 @@
   quarantinedParts(): number;
   /** Backend servers that name a request limit. */
   limitedBackends(): number;
+  /** Backend servers that have said that they leave. */
+  leavingBackends(): number;
   /** Services that the host seems to be cut off from. */
   lostServices(): number;
   /** Control hosts that respond. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -75,6 +75,12 @@
     labelNames: ['verdict'],
     registers: [this.registry],
   });
+  private readonly pauses = new Counter({
+    name: 'vmux_gateway_pauses_total',
+    help: 'Pauses that backend servers have asked this host for, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly relays = new Counter({
     name: 'vmux_gateway_relays_total',
     help: 'Requests that this host relayed to another entry host, or received from one.',
@@ -132,6 +138,11 @@
         'Backend servers that name a request limit.',
         () => gauges.limitedBackends(),
       ],
+      [
+        'vmux_gateway_leaving_backends',
+        'Backend servers that have said that they leave.',
+        () => gauges.leavingBackends(),
+      ],
       [
         'vmux_gateway_lost_services',
         'Services none of whose backend servers this host reaches.',
@@ -208,6 +219,11 @@
     this.permits.inc({verdict});
   }
 
+  /** Counts a pause that a backend server has asked for. */
+  countPause(service: string): void {
+    this.pauses.inc({service});
+  }
+
   /** Renders all metrics in the Prometheus text format. */
   render(): Promise<string> {
     return this.registry.metrics();
