feat(gateway): requests are refused while the backlog exceeds their goal

An admission policy (open, backlog; settings: admission) decides on what a placement predicts: a request is refused at once, with a Retry-After of its own, if its first event would take more than 0.65 of its goal and 1.5 times what idle engines take. Attempts beside a silent one keep to it too; those after a broken stream are always made.

--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -5,6 +5,8 @@
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {getLogger, monotonicMs, sleep, succeed} from '@vanillamux/shared';
 import {RouteTable} from '../src/config/route_table.js';
+import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
+import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
@@ -149,6 +151,7 @@
         place: () => ({backend, helpers: [], memory: [], work: []}),
       }),
     },
+    admission: createAdmissionPolicy(AdmissionPolicyName.Open),
     retryBudget: {countRequest: () => undefined, acquire: () => true},
     notices: {tell: () => undefined, tellEnd: () => undefined},
     quarantine: {
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -10,6 +10,8 @@
 import type {ResponseHead} from '../src/connection/response_head.js';
 import type {Exchange} from '../src/connection/exchange.js';
 import {ExchangeError} from '../src/connection/exchange_error.js';
+import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
+import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
 import type {Backend} from '../src/fleet/backend.js';
 import type {ClientRequest} from '../src/request/client_request.js';
@@ -57,6 +59,7 @@
       }),
     },
     memory: {reserve: async () => []},
+    admission: createAdmissionPolicy(AdmissionPolicyName.Open),
     notices: {tell: () => {}, tellEnd: () => {}},
     requestLimits: {waitMs: () => 0, isLimited: () => false},
     reach: new ServiceReach(),
--- /dev/null
+++ b/packages/gateway/src/admission/create_admission_policy.ts
@@ -0,0 +1,14 @@
+import type {AdmissionPolicy} from './admission_policy.js';
+import {AdmissionPolicyName} from './admission_policy_name.js';
+import {BacklogAdmissionPolicy} from './backlog_admission_policy.js';
+import {OpenAdmissionPolicy} from './open_admission_policy.js';
+
+/** Creates the admission policy with a name. */
+export function createAdmissionPolicy(
+  name: AdmissionPolicyName,
+  random: () => number = Math.random,
+): AdmissionPolicy {
+  return name === AdmissionPolicyName.Open
+    ? new OpenAdmissionPolicy()
+    : new BacklogAdmissionPolicy(random);
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,6 @@
+export {AdmissionPolicy} from './admission/admission_policy.js';
+export {AdmissionPolicyName} from './admission/admission_policy_name.js';
+export {createAdmissionPolicy} from './admission/create_admission_policy.js';
 export {checkConfig} from './config/check_config.js';
 export {type ClientLimits} from './config/client_limits.js';
 export {type ConfigIssue} from './config/config_issue.js';
--- a/packages/gateway/src/placement/engine_placement_policy.ts
+++ b/packages/gateway/src/placement/engine_placement_policy.ts
@@ -1,6 +1,7 @@
 import type {EngineSpec} from '../config/engine_spec.js';
 import type {Backend} from '../fleet/backend.js';
 import type {WorkItem} from '../fleet/work_item.js';
+import {iterationMs} from './iteration_ms.js';
 import {missProbability} from './miss_probability.js';
 import {lossIfLate} from './loss_if_late.js';
 import {EngineCostModel} from './engine_cost_model.js';
@@ -38,6 +39,9 @@
 const NO_STREAMS_COST = 0.2;
 /** Maximum random cost; hosts with the same view then choose differently. */
 const MAX_JITTER_COST = 0.004;
+const MAX_ENGINES = ENGINE_COUNTS.at(-1)!;
+/** Iterations until the first event on an idle engine, at the most. */
+const IDLE_ITERATIONS = 1.5;
 /** Fraction of an engine's KV memory that one reservation may use. */
 const MAX_RESERVED_FRACTION = 0.85;
 
@@ -53,6 +57,7 @@
   readonly engines: readonly EngineCostModel[];
   readonly prefillShareMs: number;
   readonly firstEventMs: number;
+  readonly idleFirstEventMs: number;
   readonly predictedLoss: number;
 }
 
@@ -160,7 +165,27 @@
       requestLoss +
       firstEventMs * LATENCY_COST_PER_MS +
       ratedEngines.reduce((sum, {cost}) => sum + cost, 0);
-    return {engines, prefillShareMs, firstEventMs, predictedLoss};
+    return {
+      engines,
+      prefillShareMs,
+      firstEventMs,
+      idleFirstEventMs: this.idleFirstEventMs(request, totalPrefillMs),
+      predictedLoss,
+    };
+  }
+
+  /** Time to the first event if all candidates were idle and shared the prompt. */
+  private idleFirstEventMs(
+    {service, metadata, candidates}: PlacementRequest,
+    totalPrefillMs: number,
+  ): number {
+    const spec = service.engine!;
+    const engines =
+      totalPrefillMs < MIN_SPLIT_PREFILL_MS
+        ? 1
+        : Math.min(MAX_ENGINES, candidates.length);
+    const iteration = iterationMs(spec, 1, metadata.promptTokens);
+    return totalPrefillMs / engines + IDLE_ITERATIONS * iteration;
   }
 
   /** Rates one engine by the cost of a prefill share on it. */
@@ -252,6 +277,7 @@
       prediction: {
         prefillShareMs,
         firstEventMs: plan.firstEventMs,
+        idleFirstEventMs: plan.idleFirstEventMs,
         predictedLoss: plan.predictedLoss,
       },
       work: [
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -1,3 +1,4 @@
+import type {AdmissionPolicy} from '../admission/admission_policy.js';
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
@@ -23,6 +24,7 @@
   readonly backends: BackendPool;
   readonly connections: ConnectionPools;
   readonly placements: PlacementPolicies;
+  readonly admission: AdmissionPolicy;
   readonly retryBudget: SharedRetryBudget;
   readonly memory: MemoryReservationManager;
   readonly notices: PeerNotices;
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -58,6 +58,23 @@
     });
   }
 
+  /** Reports that the engines' backlog rules out an attempt. */
+  reportBacklog({prediction}: PlacementDecision, returnMs: number): void {
+    const {route, service, metadata} = this.request;
+    this.components.metrics.countBacklogRefusal(service.name);
+    if (!prediction) return;
+    log.info('No attempt for the backlog of the engines.', {
+      request: metadata.requestId,
+      route: route.name,
+      goalMs: route.latencyGoalMs,
+      firstEventMs: Math.round(prediction.firstEventMs),
+      idleFirstEventMs: Math.round(prediction.idleFirstEventMs),
+      attempt: this.attempts + 1,
+      returnMs,
+      ageMs: this.ageMs(),
+    });
+  }
+
   /** Reports that nothing has arrived from a backend server for too long. */
   reportSilence(reason: string, {decision, number}: RunningAttempt): void {
     this.lastRefusal = undefined;
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -154,6 +154,8 @@
       }
       const decision = this.place();
       if (decision) {
+        if (this.refuseForBacklog(decision))
+          return 'the backlog of the engines exceeds the goal';
         const limited = this.candidates.limitedEngines(decision);
         if (limited.length > 0) {
           const isPermitted = await this.candidates.acquirePermits(limited);
@@ -227,6 +229,24 @@
     });
   }
 
+  /**
+   * Whether the request is better refused than sent. An attempt after one that
+   * may have run is sent, unless that one goes on.
+   */
+  private refuseForBacklog(decision: PlacementDecision): boolean {
+    const {route} = this.request;
+    const isCommitted = this.possibleRuns > 0 && this.running.size === 0;
+    if (isCommitted) return false;
+    const returnMs = this.components.admission.refuse({
+      latencyGoalMs: route.latencyGoalMs,
+      prediction: decision.prediction,
+    });
+    if (returnMs === undefined) return false;
+    this.retryAfterMs = returnMs;
+    this.reporter.reportBacklog(decision, returnMs);
+    return true;
+  }
+
   /** Chooses an entry host that relays, while this one has lost the service. */
   private chooseRelay(nowMs: number): PlacementDecision | undefined {
     const {request, components, candidates} = this;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -15,6 +15,7 @@
   type Address,
   type Result,
 } from '@vanillamux/shared';
+import {createAdmissionPolicy} from '../admission/create_admission_policy.js';
 import {ConnectionPools} from '../connection/connection_pools.js';
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
@@ -325,6 +326,7 @@
         settings.placement,
         settings.failureDomain,
       ),
+      admission: createAdmissionPolicy(settings.admission),
       retryBudget: this.retryBudget,
       requestRecorder: new RequestRecorder(this.recorder),
       memory: new MemoryReservationManager({
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -81,6 +81,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly backlogRefusals = new Counter({
+    name: 'vmux_gateway_backlog_refusals_total',
+    help: 'Attempts that the backlog of the engines ruled out, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly relays = new Counter({
     name: 'vmux_gateway_relays_total',
     help: 'Requests that this host relayed to another entry host, or received from one.',
@@ -219,6 +225,11 @@
     this.permits.inc({verdict});
   }
 
+  /** Counts an attempt that the backlog of the engines ruled out. */
+  countBacklogRefusal(service: string): void {
+    this.backlogRefusals.inc({service});
+  }
+
   /** Counts a pause that a backend server has asked for. */
   countPause(service: string): void {
     this.pauses.inc({service});
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -1,5 +1,6 @@
 import {addressSchema, LogFormat, LogLevel} from '@vanillamux/shared';
 import {z} from 'zod';
+import {AdmissionPolicyName} from '../admission/admission_policy_name.js';
 import {PlacementPolicyName} from '../placement/placement_policy_name.js';
 
 const DEFAULT_RETRY_RATIO = 0.1;
@@ -42,6 +43,9 @@
     placement: z
       .nativeEnum(PlacementPolicyName)
       .default(PlacementPolicyName.EngineTime),
+    admission: z
+      .nativeEnum(AdmissionPolicyName)
+      .default(AdmissionPolicyName.Backlog),
     retries: retrySchema.default({}),
     /** Time within which the load balancer notices that the host drains. */
     drainNoticeMs: z.number().min(0).default(DEFAULT_DRAIN_NOTICE_MS),
--- a/packages/load/__tests__/play_command.test.ts
+++ b/packages/load/__tests__/play_command.test.ts
@@ -30,6 +30,12 @@
     status: 2,
     output: /--placement: expected one of round_robin, /,
   },
+  {
+    name: 'an unknown admission',
+    args: [DAY, '--admission', 'some'],
+    status: 2,
+    output: /--admission: Invalid enum value\. Expected 'open' \| 'backlog'/,
+  },
   {
     name: 'days that are not a number',
     args: [DAY, '--days', 'many'],
--- a/packages/load/src/bin/vmux_load.ts
+++ b/packages/load/src/bin/vmux_load.ts
@@ -1,5 +1,5 @@
 import {writeFileSync} from 'node:fs';
-import {PlacementPolicyName} from '@vanillamux/gateway';
+import {AdmissionPolicyName, PlacementPolicyName} from '@vanillamux/gateway';
 import {loadSettings, VERSION, type Address} from '@vanillamux/shared';
 import {cac} from 'cac';
 import {z} from 'zod';
@@ -24,11 +24,13 @@
   readonly days: number;
   readonly seed: number;
   readonly placement?: string;
+  readonly admission: AdmissionPolicyName;
 }
 
 const playFlagsSchema = z.object({
   days: z.number().int().min(1),
   seed: z.number().int(),
+  admission: z.nativeEnum(AdmissionPolicyName),
 });
 
 const cli = cac('vmux-load');
@@ -47,6 +49,9 @@
   })
   .option('--seed <seed>', 'Seed of the first day', {default: 1})
   .option('--placement <name>', Object.values(PlacementPolicyName).join(', '))
+  .option('--admission <name>', Object.values(AdmissionPolicyName).join(', '), {
+    default: AdmissionPolicyName.Backlog,
+  })
   .action(runSimulation);
 cli.help();
 cli.version(VERSION);
@@ -88,7 +93,13 @@
     {length: flags.days},
     (_, index) => flags.seed + index,
   );
-  const results = comparePlacements({spec: spec.value, seeds, placements});
+  const {admission} = checked.data;
+  const results = comparePlacements({
+    spec: spec.value,
+    seeds,
+    placements,
+    admission,
+  });
   process.stdout.write(renderComparison(results));
 }
 
--- a/packages/load/src/day/compare_placements.ts
+++ b/packages/load/src/day/compare_placements.ts
@@ -1,4 +1,4 @@
-import {PlacementPolicyName} from '@vanillamux/gateway';
+import {AdmissionPolicyName, PlacementPolicyName} from '@vanillamux/gateway';
 import type {DayOutcome} from './day_outcome.js';
 import type {DaySpec} from './day_spec.js';
 import type {DaySummary} from './day_summary.js';
@@ -10,6 +10,7 @@
   readonly spec: DaySpec;
   readonly seeds: readonly number[];
   readonly placements?: readonly PlacementPolicyName[];
+  readonly admission?: AdmissionPolicyName;
 }
 
 /** A placement policy with the summary over all its simulated days. */
@@ -23,10 +24,11 @@
   spec,
   seeds,
   placements = Object.values(PlacementPolicyName),
+  admission = AdmissionPolicyName.Backlog,
 }: CompareOptions): PlacementSummary[] {
   return placements.map(placement => {
     const outcomes: DayOutcome[] = seeds.flatMap(seed =>
-      simulateDay({spec, seed, placement}),
+      simulateDay({spec, seed, placement, admission}),
     );
     return {placement, summary: summarizeDay(outcomes)};
   });
--- a/packages/load/src/day/day_outcome.ts
+++ b/packages/load/src/day/day_outcome.ts
@@ -13,6 +13,8 @@
   isCompleted: boolean;
   /** Number of engines that processed the prompt. */
   prefillEngineCount: number;
+  /** Times that entry hosts refused the request. */
+  refusals: number;
   /** Time to the first event that the placement policy predicted. */
   predictedFirstEventMs?: number;
 }
--- a/packages/load/src/day/day_simulation.ts
+++ b/packages/load/src/day/day_simulation.ts
@@ -1,5 +1,8 @@
 import {
+  AdmissionPolicyName,
+  createAdmissionPolicy,
   PlacementClaim,
+  type AdmissionPolicy,
   type PlacementClaimOptions,
   type PlacementDecision,
   type ServiceSpec,
@@ -24,18 +27,26 @@
 const MAX_RESERVATION_ATTEMPTS = 4;
 const RESERVATION_RETRY_DELAY_MS = 30;
 
+/** Returns that a client makes after refusals. */
+const MAX_RETURNS = 1;
+
 /** A discrete-event simulation of the engines and entry hosts of one day. */
 export class DaySimulation {
   private readonly clock = new VirtualClock();
   private readonly engines: VirtualEngines;
   private readonly hosts: readonly VirtualHost[];
   private readonly service: ServiceSpec;
+  private readonly admission: AdmissionPolicy;
   private nextWorkId = 0;
 
   constructor(private readonly options: SimulationOptions) {
-    const {spec, seed, placement} = options;
+    const {spec, seed, placement, admission} = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
+    this.admission = createAdmissionPolicy(
+      admission ?? AdmissionPolicyName.Backlog,
+      random,
+    );
     const failureDomainAt = (index: number): string =>
       `fd-${index % spec.failureDomains}`;
     this.service = {
@@ -68,6 +79,7 @@
       arrival,
       longestPauseMs: 0,
       isCompleted: false,
+      refusals: 0,
       prefillEngineCount: 0,
     }));
     for (const outcome of outcomes) {
@@ -105,6 +117,14 @@
       waitedMs: this.clock.nowMs - arrival.atMs,
     });
     if (!decision) return;
+    const returnMs =
+      reservationAttempts === 0
+        ? this.admission.refuse({
+            latencyGoalMs: arrival.requestClass.goalMs,
+            prediction: decision.prediction,
+          })
+        : undefined;
+    if (returnMs !== undefined) return this.refuseRequest(outcome, returnMs);
     outcome.prefillEngineCount = decision.helpers.length + 1;
     outcome.predictedFirstEventMs = decision.prediction?.firstEventMs;
     if (this.engines.reserve(decision)) {
@@ -116,6 +136,13 @@
     );
   }
 
+  /** Refuses a request, whose client may return. */
+  private refuseRequest(outcome: DayOutcome, returnMs: number): void {
+    outcome.refusals++;
+    if (outcome.refusals > MAX_RETURNS) return;
+    this.clock.schedule(returnMs, () => this.placeRequest(outcome));
+  }
+
   private startRequest(
     host: VirtualHost,
     outcome: DayOutcome,
--- a/packages/load/src/day/simulation_options.ts
+++ b/packages/load/src/day/simulation_options.ts
@@ -1,4 +1,7 @@
-import type {PlacementPolicyName} from '@vanillamux/gateway';
+import type {
+  AdmissionPolicyName,
+  PlacementPolicyName,
+} from '@vanillamux/gateway';
 import type {DaySpec} from './day_spec.js';
 
 /** Options of `simulateDay`. */
@@ -6,6 +9,8 @@
   readonly spec: DaySpec;
   readonly seed: number;
   readonly placement: PlacementPolicyName;
+  /** Admission policy of the entry hosts; by default that of a gateway. */
+  readonly admission?: AdmissionPolicyName;
   /** Whether entry hosts broadcast the work that they place; default true. */
   readonly sendsNotices?: boolean;
 }
