feat(gateway): placement learns which engines are slow from their events

Nothing but the declared times was used.

The time between two events of a stream is one iteration. Its ratio to the declared one, the least of four as any may also process prompts, is a factor on the engine's times in placement; it halves in 2 s without events.

--- a/packages/engine/src/virtual/virtual_engine.ts
+++ b/packages/engine/src/virtual/virtual_engine.ts
@@ -35,6 +35,8 @@
   private active: ScheduledWork[] = [];
   private isIterating = false;
   private reservedTokens = 0;
+  /** Factor on all times; above 1 for an engine that has become slow. */
+  pace = 1;
 
   constructor(
     private readonly spec: EngineSpec,
@@ -124,7 +126,7 @@
       this.isIterating = false;
       return;
     }
-    const iterationMs = ms + steps * this.stepMs(decoding);
+    const iterationMs = this.pace * (ms + steps * this.stepMs(decoding));
     this.clock.schedule(iterationMs, () => {
       for (const item of prefilled) item.work.onPrefilled?.();
       for (const item of this.active.filter(canStartDecoding))
--- a/packages/gateway/src/fleet/backend.ts
+++ b/packages/gateway/src/fleet/backend.ts
@@ -1,5 +1,6 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import type {LoadReport} from '../dialect/load_report.js';
+import {EnginePace} from './engine_pace.js';
 import {FailureTracker} from './failure_tracker.js';
 import {RequestPause} from './request_pause.js';
 import {WorkTracker} from './work_tracker.js';
@@ -12,6 +13,7 @@
   readonly failures = new FailureTracker();
   readonly work = new WorkTracker();
   readonly pause = new RequestPause();
+  readonly pace = new EnginePace();
   /** Requests of this host that have not ended. */
   inFlight = 0;
   private loadReport?: LoadReport;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,7 @@
 export {Backend} from './fleet/backend.js';
 export {type PlacementDecision} from './placement/placement_decision.js';
 export {PlacementPolicyName} from './placement/placement_policy_name.js';
+export {observePace} from './placement/observe_pace.js';
 export {prefillMs} from './placement/prefill_ms.js';
 export {stepMs} from './placement/step_ms.js';
 export {PlacementPolicies} from './placement/placement_policies.js';
--- a/packages/gateway/src/placement/engine_cost_model.ts
+++ b/packages/gateway/src/placement/engine_cost_model.ts
@@ -13,6 +13,8 @@
   /** Sequences that decode or will decode; at least the estimated load. */
   readonly sequences: number;
   private readonly baseIterationMs: number;
+  /** Factor on the declared times; above 1 for a slow engine. */
+  private readonly pace: number;
   private readonly streams: readonly TrackedWork[];
 
   constructor(
@@ -22,17 +24,15 @@
   ) {
     const entries = backend.work.entries(nowMs);
     this.streams = entries.filter(({decodeMs}) => decodeMs > 0);
-    this.backlogMs = backend.work.backlogMs(nowMs);
+    this.pace = backend.pace.factor(nowMs);
+    this.backlogMs = this.pace * backend.work.backlogMs(nowMs);
     this.contextTokens = entries.reduce(
       (sum, {contextTokens}) => sum + contextTokens,
       0,
     );
     this.sequences = Math.max(this.streams.length, backend.estimateLoad(nowMs));
-    this.baseIterationMs = iterationMs(
-      spec,
-      this.sequences,
-      this.contextTokens,
-    );
+    this.baseIterationMs =
+      this.pace * iterationMs(spec, this.sequences, this.contextTokens);
   }
 
   /** Whether the engine has no stream that more work would delay. */
@@ -47,14 +47,15 @@
     return (
       waitMs +
       this.backlogMs +
-      prefillMs +
+      this.pace * prefillMs +
       this.baseIterationMs +
       this.queueingDelayMs()
     );
   }
 
   /** Expected loss of the requests on the engine when work is added. */
-  predictedLoss(addedMs: number): number {
+  predictedLoss(addedPrefillMs: number): number {
+    const addedMs = this.pace * addedPrefillMs;
     const pauseMs = this.baseIterationMs + this.backlogMs;
     let loss = 0;
     for (const stream of this.streams) {
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -3,6 +3,7 @@
 import type {Exchange} from '../connection/exchange.js';
 import {ExchangeError} from '../connection/exchange_error.js';
 import {isFramed} from '../connection/is_framed.js';
+import {observePace} from '../placement/observe_pace.js';
 import type {ResponseWriter} from './response_writer.js';
 import {Attempt, type AttemptOptions} from './attempt.js';
 import {AttemptOutcome} from './attempt_outcome.js';
@@ -43,6 +44,15 @@
     progress.firstEventMs ??= nowMs;
     progress.lastEventMs = nowMs;
     progress.longestPauseMs = Math.max(progress.longestPauseMs ?? 0, pauseMs);
+    this.observePace(count, pauseMs, nowMs);
+  }
+
+  /** Several events at once say nothing of an iteration, nor do relayed ones. */
+  private observePace(count: number, pauseMs: number, nowMs: number): void {
+    const {engine} = this.request.service;
+    const {backend, isRelay} = this.decision;
+    if (!engine || isRelay || count !== 1 || pauseMs === 0) return;
+    observePace(backend, engine, {pauseMs, nowMs});
   }
 
   protected async forwardResponse(
--- a/packages/load/src/day/day_simulation.ts
+++ b/packages/load/src/day/day_simulation.ts
@@ -1,6 +1,7 @@
 import {
   AdmissionPolicyName,
   createAdmissionPolicy,
+  observePace,
   PlacementClaim,
   type AdmissionPolicy,
   type PlacementClaimOptions,
@@ -30,6 +31,15 @@
 /** Returns that a client makes after refusals. */
 const MAX_RETURNS = 1;
 
+/** An event of a stream that has reached the entry host. */
+interface ForwardedEvent {
+  readonly decision: PlacementDecision;
+  readonly claim: PlacementClaim;
+  readonly isLast: boolean;
+  /** Time since the event before; 0 for the first. */
+  readonly pauseMs: number;
+}
+
 /** A discrete-event simulation of the engines and entry hosts of one day. */
 export class DaySimulation {
   private readonly clock = new VirtualClock();
@@ -87,10 +97,23 @@
       const startMs = this.placementStartMs(atMs + PROCESSING_DELAY_MS);
       this.clock.schedule(startMs, () => this.placeRequest(outcome));
     }
+    this.scheduleSlowdowns();
     this.clock.runUntilIdle();
     return outcomes;
   }
 
+  private scheduleSlowdowns(): void {
+    for (const slowdown of this.options.spec.slowdowns) {
+      const {engines, factor, fromSecond, toSecond} = slowdown;
+      this.clock.schedule(fromSecond * MS_PER_SECOND, () =>
+        this.engines.setPace(engines, factor),
+      );
+      this.clock.schedule(toSecond * MS_PER_SECOND, () =>
+        this.engines.setPace(engines, 1),
+      );
+    }
+  }
+
   /** When a host places a request that arrives at `atMs`: after any outage. */
   private placementStartMs(atMs: number): number {
     const outage = this.options.spec.outages.find(
@@ -160,10 +183,13 @@
     const engineDelayMs =
       this.networkDelayMs(host, failureDomain) + PROCESSING_DELAY_MS;
     const eventDelayMs = engineDelayMs + options.spec.clientDelayMs;
+    let lastEventMs: number | undefined;
     const onEvent = (isLast: boolean): void => {
       recordEvent(outcome, clock.nowMs + eventDelayMs - arrival.atMs, isLast);
+      const pauseMs = clock.nowMs - (lastEventMs ?? clock.nowMs);
+      lastEventMs = clock.nowMs;
       clock.schedule(engineDelayMs, () =>
-        this.forwardEvent(decision, claim, isLast),
+        this.forwardEvent({decision, claim, isLast, pauseMs}),
       );
     };
     clock.schedule(engineDelayMs, () =>
@@ -172,11 +198,17 @@
   }
 
   /** Handles an event at the entry host, which forwards it to the client. */
-  private forwardEvent(
-    decision: PlacementDecision,
-    claim: PlacementClaim,
-    isLast: boolean,
-  ): void {
+  private forwardEvent({
+    decision,
+    claim,
+    isLast,
+    pauseMs,
+  }: ForwardedEvent): void {
+    const {engine} = this.service;
+    const {nowMs} = this.clock;
+    const {observesPace = true} = this.options;
+    if (engine && observesPace && pauseMs > 0)
+      observePace(decision.backend, engine, {pauseMs, nowMs});
     claim.markPrefilled();
     if (!isLast) return;
     this.engines.release(decision);
--- a/packages/load/src/day/day_spec_schema.ts
+++ b/packages/load/src/day/day_spec_schema.ts
@@ -47,6 +47,17 @@
   })
   .strict();
 
+const slowdownSchema = z
+  .object({
+    /** Engines that are slow, counted from the first. */
+    engines: positive.int(),
+    /** Factor on all of their times. */
+    factor: positive,
+    fromSecond: z.number().min(0),
+    toSecond: positive,
+  })
+  .strict();
+
 const engineSchema = z
   .object({
     batchSize: positive,
@@ -76,6 +87,8 @@
     clientDelayMs: z.number().min(0),
     classes: z.array(classSchema).min(1),
     phases: z.array(phaseSchema).default([]),
+    /** Intervals in which engines are slow. */
+    slowdowns: z.array(slowdownSchema).default([]),
     /** Intervals in which no host places requests, as when all restart. */
     outages: z.array(outageSchema).default([]),
   })
--- a/packages/load/src/day/virtual_engines.ts
+++ b/packages/load/src/day/virtual_engines.ts
@@ -20,6 +20,11 @@
     );
   }
 
+  /** Changes the pace of the first `count` engines. */
+  setPace(count: number, factor: number): void {
+    for (const engine of this.engines.slice(0, count)) engine.pace = factor;
+  }
+
   /** Reserves the memory that a decision asks for, all of it or none. */
   reserve({memory}: PlacementDecision): boolean {
     const granted = memory.filter(({backend, tokens}) =>
