fix(shared): no process ends for want of a log reader

Operators saw a process end with an unhandled EPIPE when the reader of its log had exited: nothing listened for errors of its output. The test that found it looked at the first chunk of standard error alone, and passed when 'done' and the error came apart; it is replaced by two that wait for the end of the process and require its exit status (0), for standard output alone and with standard error.

--- a/packages/shared/__tests__/log_output.test.ts
+++ b/packages/shared/__tests__/log_output.test.ts
@@ -51,10 +51,27 @@
     assert.equal(JSON.parse(String(text)).message, 'Last line.');
   });
 
-  it('does not stop the process when its reader has exited', async () => {
-    const child = pipeInto('true');
-    const signal = AbortSignal.timeout(TIMEOUT_MS);
-    const [text] = await once(child.stderr!, 'data', {signal});
-    assert.equal(String(text), 'done');
-  });
+  for (const {name, command} of [
+    {name: 'standard output', command: (run: string) => `(${run}) | true`},
+    {
+      name: 'standard output and standard error',
+      command: (run: string) => `(${run} 2>&1) | true`,
+    },
+  ]) {
+    it(`does not end the process when the reader of its ${name} has exited`, async () => {
+      const run = `"${process.execPath}" "${SCRIPT}"`;
+      const child = spawn('sh', ['-c', command(`${run}; echo "exit $?" >&3`)], {
+        stdio: ['ignore', 'ignore', 'pipe', 'pipe'],
+        detached: true,
+      });
+      children.push(child);
+      const signal = AbortSignal.timeout(TIMEOUT_MS);
+      let written = '';
+      let errors = '';
+      child.stderr!.on('data', (chunk: Buffer) => (errors += String(chunk)));
+      child.stdio[3]!.on('data', (chunk: Buffer) => (written += String(chunk)));
+      await once(child, 'close', {signal});
+      assert.equal(written, 'exit 0\n', errors);
+    });
+  }
 });
--- a/packages/shared/src/configure_logging.ts
+++ b/packages/shared/src/configure_logging.ts
@@ -2,6 +2,7 @@
 import {LogFormat} from './log_format.js';
 import {LogLevel} from './log_level.js';
 import {LogLimiter} from './log_limiter.js';
+import {surviveClosedOutput} from './survive_closed_output.js';
 
 /** Bytes of output that may be buffered for a slow reader. */
 const MAX_BUFFERED_BYTES = 256 * 1_024;
@@ -19,6 +20,7 @@
  * standard output, text to standard error.
  */
 export function configureLogging(options: LoggingOptions = {}): void {
+  surviveClosedOutput();
   const format = options.format ?? LogFormat.Text;
   const limiter = new LogLimiter();
   const methodFactory: log.MethodFactory = (methodName, _level, loggerName) => {
@@ -48,8 +50,9 @@
 }
 
 /**
- * Writes a JSON line, or drops it if its message is over the rate limit or too
- * much output is buffered for a slow reader. Logging never blocks the process.
+ * Writes a JSON line, or drops it if its message is over the rate limit, too
+ * much output is buffered for a slow reader, or the reader has exited. Logging
+ * never blocks or ends the process.
  */
 function writeRateLimited(
   limiter: LogLimiter,
@@ -60,12 +63,13 @@
   const limiterKey = `${part} ${message}`;
   const dropped = limiter.admit(limiterKey);
   if (dropped === undefined) return;
-  if (process.stdout.writableLength > MAX_BUFFERED_BYTES) {
+  const {stdout} = process;
+  if (!stdout.writable || stdout.writableLength > MAX_BUFFERED_BYTES) {
     for (let line = 0; line <= dropped; line++)
       limiter.countDropped(limiterKey);
     return;
   }
-  process.stdout.write(formatLine(dropped));
+  stdout.write(formatLine(dropped));
 }
 
 function formatJson(
