test(fleet): no process is given the port of another that has yet to start

A port was found free, and found again for the next gateway before the first one listened, up to two seconds later. Ports are given in turn now, none twice by a process, and processes look in different blocks. The test fails on the code before (900 ports, some twice).

--- a/packages/fleet/__tests__/find_free_ports.test.ts
+++ b/packages/fleet/__tests__/find_free_ports.test.ts
@@ -7,6 +7,13 @@
 const FIRST_OUTGOING_PORT = 32_768;
 
 describe('findFreePorts', () => {
+  it('returns no port twice, though nothing listens there yet', async () => {
+    const ports: number[] = [];
+    for (let call = 0; call < 300; call++)
+      ports.push(...(await findFreePorts(3)));
+    assert.equal(new Set(ports).size, ports.length);
+  });
+
   for (const count of [1, 3, 40]) {
     it(`finds ${count} ports that no outgoing connection takes`, async () => {
       const ports = await findFreePorts(count);
--- a/packages/fleet/src/find_free_ports.ts
+++ b/packages/fleet/src/find_free_ports.ts
@@ -1,28 +1,33 @@
-import {randomInt} from 'node:crypto';
 import {createServer, type Server} from 'node:net';
+import process from 'node:process';
 
 const LOOPBACK = '127.0.0.1';
 /** Ports below those that systems give to outgoing connections. */
 const FIRST_PORT = 10_240;
-const LAST_PORT = 32_767;
-const MAX_TRIES = 100;
+const PORTS = 22_528;
+/** Ports between the first ones of processes with consecutive ids. */
+const BLOCK_PORTS = 256;
+
+let nextOffset = (process.pid * BLOCK_PORTS) % PORTS;
 
 /**
- * Finds free loopback ports. Listens on all of them at once, so that they
- * differ, and then closes them. Until the caller listens, no outgoing
- * connection of another process is given one of them.
+ * Finds free loopback ports. None is returned twice by one process, as the
+ * programs that will listen on them may take a while to start; processes that
+ * run at the same time look in different blocks.
  */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const servers = new Map<number, Server>();
-  for (let tries = 0; servers.size < count; tries++) {
-    const port = randomInt(FIRST_PORT, LAST_PORT + 1);
+  const ports: number[] = [];
+  for (let tries = 0; ports.length < count; tries++) {
+    if (tries === PORTS)
+      throw new Error(`found ${ports.length} of ${count} free ports`);
+    const port = FIRST_PORT + nextOffset;
+    nextOffset = (nextOffset + 1) % PORTS;
     const server = await listenOn(port);
-    if (server) servers.set(port, server);
-    else if (tries >= MAX_TRIES + count)
-      throw new Error(`found ${servers.size} of ${count} free ports`);
+    if (!server) continue;
+    await closeServer(server);
+    ports.push(port);
   }
-  await Promise.all([...servers.values()].map(closeServer));
-  return [...servers.keys()];
+  return ports;
 }
 
 /** Listens on a port; `undefined` if that is not possible. */
