fix(gateway): what peers have said of lost services outlasts its repetition

What clients saw: while most of many entry hosts reached no backend server, their requests were refused, though other hosts could have relayed them.

Cause: a notice of lost services counted for 4 s. After the change it goes to three random peers a second, so one of 36 peers hears it again within 4 s with probability 0.3, one of 64 with 0.18. Tests had 4 hosts, where it is 1. Cut-off hosts then relayed to each other and gave up after three refusals.

Change: a statement counts until its host takes it back, or for three cycles of the fact sync, whose length follows the number of hosts; each peer has its turn once a cycle rather than by chance. A host that reaches everything again, or has started, repeats that for as long. Log line and gauge for what is believed.

--- a/packages/gateway/src/peers/fact_sync.ts
+++ b/packages/gateway/src/peers/fact_sync.ts
@@ -33,10 +33,15 @@
 
 /**
  * Brings the facts of all entry hosts together although notices are lost: each
- * host sends what it knows to some peers again, and asks some for what they
- * know when it has started or was suspended.
+ * host sends what it knows to some peers again, all of them in turn, and asks
+ * some for what they know when it has started or was suspended.
  */
 export class FactSync {
+  /** Time in which a host sends its facts to each of its peers once. */
+  static cycleMs(peerCount: number): number {
+    return Math.ceil(peerCount / SYNC_RECEIVERS) * SYNC_INTERVAL_MS;
+  }
+
   private synced = new Deferred<void>();
   private hasSynced = false;
   private hasPeers = false;
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -25,6 +25,9 @@
 import type {ReceivedReachNotice} from '../reach/received_reach_notice.js';
 import type {ReceivedSyncNotice} from './received_sync_notice.js';
 
+/** Bound of the index at which a host begins; above the number of hosts. */
+const MAX_FIRST_RECEIVER = 2 ** 16;
+
 const log = getLogger('peers');
 
 /** Options of `PeerNotices`. */
@@ -48,6 +51,8 @@
   private readonly reachBus = new EventBus<ReceivedReachNotice>();
   private readonly syncBus = new EventBus<ReceivedSyncNotice>();
   private peers: readonly EntryPeer[] = [];
+  /** Index of the next receiver of facts; hosts begin at different ones. */
+  private nextReceiver = Math.floor(Math.random() * MAX_FIRST_RECEIVER);
   private isClosed = false;
 
   constructor(private readonly options: PeerNoticesOptions) {
@@ -76,7 +81,15 @@
 
   /** Replaces the peers that receive notices. */
   replacePeers(peers: readonly EntryPeer[]): void {
-    this.peers = peers.filter(({id}) => id !== this.options.id);
+    // Control hosts list them in different orders; `sendFacts` needs one.
+    this.peers = peers
+      .filter(({id}) => id !== this.options.id)
+      .sort((a, b) => (a.id < b.id ? -1 : 1));
+  }
+
+  /** Number of the other entry hosts. */
+  get peerCount(): number {
+    return this.peers.length;
   }
 
   /** Broadcasts work that this host has placed. */
@@ -120,9 +133,11 @@
     this.broadcast(this.createFactsNotice(facts));
   }
 
-  /** Sends facts to `count` random peers. */
+  /** Sends facts to `count` peers; further calls send to the others in turn. */
   sendFacts(facts: PeerFacts, count: number): void {
-    const start = Math.floor(Math.random() * this.peers.length);
+    if (this.peers.length === 0) return;
+    const start = this.nextReceiver % this.peers.length;
+    this.nextReceiver = start + count;
     const receivers = [
       ...this.peers.slice(start),
       ...this.peers.slice(0, start),
--- a/packages/gateway/src/reach/peer_reach.ts
+++ b/packages/gateway/src/reach/peer_reach.ts
@@ -1,71 +1,145 @@
-import {monotonicMs} from '@vanillamux/shared';
+import {getLogger, monotonicMs} from '@vanillamux/shared';
 import {FactSource} from '../peers/fact_source.js';
+import {FactSync} from '../peers/fact_sync.js';
 import type {PeerFacts} from '../peers/peer_facts.js';
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {ReceivedReachNotice} from './received_reach_notice.js';
 import type {ServiceReach} from './service_reach.js';
 
 /**
- * Time for which a notice counts, some intervals of the fact sync. A host that
- * is not heard again is taken to reach everything: it refuses what it can't
- * serve.
+ * Cycles of the fact sync for which a statement counts, and for which a host
+ * repeats that it reaches everything again: each notice may be lost.
  */
-const NOTICE_TTL_MS = 4_000;
+const STATEMENT_CYCLES = 3;
+/** Shortest time for which a statement counts. */
+const MIN_STATEMENT_TTL_MS = 4_000;
+/** Bound of a notice. Peers learn of further services when they ask. */
+const MAX_SERVICES = 64;
 
-interface PeerState {
+const log = getLogger('reach');
+
+/** Services that a peer has lost, as it said last. */
+interface Statement {
   readonly lost: ReadonlySet<string>;
-  readonly untilMs: number;
+  readonly heardMs: number;
 }
 
 /** Options of `PeerReach`. */
 export interface PeerReachOptions {
-  readonly notices: PeerNotices;
+  readonly notices: Pick<
+    PeerNotices,
+    'broadcastFacts' | 'reachNotices' | 'peerCount'
+  >;
   /** What this host reaches. */
-  readonly reach: ServiceReach;
+  readonly reach: Pick<ServiceReach, 'changes' | 'lostServices'>;
+  readonly now?: () => number;
 }
 
 /**
  * Tells the other entry hosts which services this one has lost, and holds what
  * they have told, so that no request is relayed to a host that is cut off too.
+ * A statement counts until the peer takes it back, or has not repeated it for
+ * several cycles of the fact sync.
  */
 export class PeerReach extends FactSource {
-  private readonly peers = new Map<string, PeerState>();
+  private readonly statements = new Map<string, Statement>();
+  private readonly now: () => number;
+  /** A host that starts takes back what it has said before. */
+  private changedMs: number;
 
   constructor(private readonly options: PeerReachOptions) {
     super();
+    this.now = options.now ?? monotonicMs;
+    this.changedMs = this.now();
     const {notices, reach} = options;
     void notices.reachNotices().observe(received => this.receive(received));
-    void reach.changes().observe(() => notices.broadcastFacts(this.facts()));
+    void reach.changes().observe(() => {
+      this.changedMs = this.now();
+      notices.broadcastFacts(this.facts());
+    });
   }
 
   takeFacts(): PeerFacts | undefined {
     const hasLost = this.options.reach.lostServices().length > 0;
-    return hasLost ? this.facts() : undefined;
+    const isNews = this.now() - this.changedMs <= this.statementTtlMs;
+    return hasLost || isNews ? this.facts() : undefined;
+  }
+
+  /** Peers that have lost a service, by their latest statements. */
+  get size(): number {
+    this.deleteExpired();
+    return this.statements.size;
+  }
+
+  /** Whether a peer has lost a service, by its latest statement. */
+  hasLost(peerId: string, service: string): boolean {
+    return this.find(peerId)?.lost.has(service) ?? false;
   }
 
-  /** Whether a peer has lost a service, by its latest notice. */
-  hasLost(peerId: string, service: string, nowMs: number): boolean {
-    const state = this.peers.get(peerId);
-    if (!state) return false;
-    if (nowMs <= state.untilMs) return state.lost.has(service);
-    this.peers.delete(peerId);
-    return false;
+  /** Age of a peer's latest statement in milliseconds; `Infinity` for none. */
+  statementAgeMs(peerId: string): number {
+    return this.now() - (this.find(peerId)?.heardMs ?? -Infinity);
+  }
+
+  /** Records that a peer refused a request, as it has lost the service. */
+  recordLost(peerId: string, service: string): void {
+    const lost = new Set(this.find(peerId)?.lost).add(service);
+    this.store(peerId, lost, 'refusal');
+  }
+
+  /** Records that a backend server of a service has answered by way of a peer. */
+  recordReached(peerId: string, service: string): void {
+    if (!this.hasLost(peerId, service)) return;
+    const lost = new Set(this.find(peerId)?.lost);
+    lost.delete(service);
+    this.store(peerId, lost, 'response');
   }
 
   private facts(): PeerFacts {
-    return {reach: {lost: this.options.reach.lostServices()}};
+    const lost = this.options.reach.lostServices().slice(0, MAX_SERVICES);
+    return {reach: {lost}};
   }
 
   private receive({from, notice}: ReceivedReachNotice): void {
-    if (notice.lost.length === 0) {
-      this.peers.delete(from);
-      return;
-    }
-    const nowMs = monotonicMs();
-    for (const [id, state] of this.peers) {
-      if (nowMs > state.untilMs) this.peers.delete(id);
+    this.deleteExpired();
+    this.store(from, new Set(notice.lost), 'notice');
+  }
+
+  private store(
+    peer: string,
+    lost: ReadonlySet<string>,
+    source: 'notice' | 'refusal' | 'response',
+  ): void {
+    const before = this.find(peer);
+    if (lost.size > 0) this.statements.set(peer, {lost, heardMs: this.now()});
+    else this.statements.delete(peer);
+    const text = [...lost].sort().join();
+    if (text === [...(before?.lost ?? [])].sort().join()) return;
+    log.info('The services that an entry host has lost changed.', {
+      peer,
+      lost: text,
+      source,
+      beforeAgeMs: before && Math.round(this.now() - before.heardMs),
+    });
+  }
+
+  private find(peerId: string): Statement | undefined {
+    const statement = this.statements.get(peerId);
+    return statement && this.isCurrent(statement) ? statement : undefined;
+  }
+
+  private deleteExpired(): void {
+    for (const [id, statement] of this.statements) {
+      if (!this.isCurrent(statement)) this.statements.delete(id);
     }
-    const untilMs = nowMs + NOTICE_TTL_MS;
-    this.peers.set(from, {lost: new Set(notice.lost), untilMs});
+  }
+
+  private isCurrent({heardMs}: Statement): boolean {
+    return this.now() - heardMs <= this.statementTtlMs;
+  }
+
+  private get statementTtlMs(): number {
+    const cycleMs = FactSync.cycleMs(this.options.notices.peerCount);
+    return Math.max(MIN_STATEMENT_TTL_MS, STATEMENT_CYCLES * cycleMs);
   }
 }
--- a/packages/gateway/src/relay/relay_peers.ts
+++ b/packages/gateway/src/relay/relay_peers.ts
@@ -58,8 +58,7 @@
     const {peerReach, failureDomain} = this.options;
     const untried = [...this.peers.values()].filter(
       peer =>
-        !isExcluded(peer) &&
-        !peerReach.hasLost(peer.presence.id, service, nowMs),
+        !isExcluded(peer) && !peerReach.hasLost(peer.presence.id, service),
     );
     const available = untried.filter(
       ({failures}) => !failures.isEjected(nowMs),
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -106,6 +106,7 @@
   private readonly requestLimits: RequestLimitManager;
   private readonly departures: DepartureManager;
   private readonly reach = new ServiceReach();
+  private readonly peerReach: PeerReach;
   private readonly factSync: FactSync;
   private readonly relayPeers: RelayPeers;
   private readonly prober: ReachProber;
@@ -166,14 +167,14 @@
       notices: this.notices,
       backends: this.backends,
     });
-    const peerReach = new PeerReach({
+    this.peerReach = new PeerReach({
       notices: this.notices,
       reach: this.reach,
     });
     this.relayPeers = new RelayPeers({
       id: settings.id,
       failureDomain: settings.failureDomain,
-      peerReach,
+      peerReach: this.peerReach,
     });
     this.prober = new ReachProber({
       reach: this.reach,
@@ -186,7 +187,7 @@
         this.quarantine,
         this.requestLimits,
         this.departures,
-        peerReach,
+        this.peerReach,
       ],
     });
     this.handler = new RequestHandler(this.createParts());
@@ -362,6 +363,7 @@
       limitedBackends: () => this.requestLimits.size,
       leavingBackends: () => this.backends.departures.size,
       lostServices: () => this.reach.lostServices().length,
+      cutOffPeers: () => this.peerReach.size,
       controlHosts: () => this.links.hosts().length,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
       backends: () =>
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -18,6 +18,8 @@
   leavingBackends(): number;
   /** Services that the host seems to be cut off from. */
   lostServices(): number;
+  /** Entry hosts that have said, or shown, that they are cut off from a service. */
+  cutOffPeers(): number;
   /** Control hosts that respond. */
   controlHosts(): number;
   /** Entries of the record that no control host has acknowledged. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -154,6 +154,11 @@
         'Services none of whose backend servers this host reaches.',
         () => gauges.lostServices(),
       ],
+      [
+        'vmux_gateway_cut_off_peers',
+        'Entry hosts that have said, or shown, that they have lost a service.',
+        () => gauges.cutOffPeers(),
+      ],
       [
         'vmux_gateway_control_hosts',
         'Control hosts that answer.',
