fix(gateway): a peer's refusal to relay is remembered, and names another host

What clients saw: requests at a host that had just joined while most hosts were cut off were refused (one of six served), though others reached the service.

Cause: a peer that has lost the service too refuses with the same words as one that is busy. The relaying host ejected it for 250 ms, less than the time to its next request, and gave up after three, so each request began anew.

Change: such a refusal says so. It counts as a statement of the peer, does not count as one of the three, and names a host by way of which the refusing one was answered lately, which is asked next. If all peers have lost the service, the one heard longest ago is asked again, once a request and second: what has been believed wrongly ends without a notice.

--- a/packages/gateway/src/relay/peer_destination.ts
+++ b/packages/gateway/src/relay/peer_destination.ts
@@ -10,13 +10,14 @@
 import type {ClientRequest} from '../request/client_request.js';
 import {Destination} from '../request/destination.js';
 import type {GatewayComponents} from '../request/gateway_components.js';
+import {readRelayRefusal} from './read_relay_refusal.js';
 import {RelayHeader} from './relay_header.js';
 import {RelayOutcome} from './relay_outcome.js';
 import {formatRelaySource} from './relay_source.js';
 
 /** Options of a `PeerDestination`. */
 export interface PeerDestinationOptions {
-  readonly components: Pick<GatewayComponents, 'dialect'>;
+  readonly components: Pick<GatewayComponents, 'dialect' | 'relayPeers'>;
   /** Id of this entry host. */
   readonly hostId: string;
   readonly request: ClientRequest;
@@ -52,14 +53,32 @@
   readHead({status, headers}: ResponseHead): AttemptResult | undefined {
     const {components, request, decision} = this.options;
     const {failures, presence} = decision.backend;
-    const reason = `entry host ${presence.id} answered ${status}`;
+    const {name: service} = request.service;
+    const {hasLostService, referral} = readRelayRefusal(headers);
+    const reason = hasLostService
+      ? `entry host ${presence.id} does not reach the service either`
+      : `entry host ${presence.id} answered ${status}`;
+    if (hasLostService)
+      components.relayPeers.recordLost(decision.backend, service);
     const retryAfterMs = readRetryAfterMs(headers['retry-after']);
     switch (headers[RelayHeader.Outcome]) {
       case RelayOutcome.NotSent:
-        failures.eject(monotonicMs());
-        return {outcome: AttemptOutcome.NotSent, reason, retryAfterMs};
+        if (!hasLostService) failures.eject(monotonicMs());
+        return {
+          outcome: AttemptOutcome.NotSent,
+          reason,
+          retryAfterMs,
+          hasLostService,
+          referral,
+        };
       case RelayOutcome.NotRun:
-        return {outcome: AttemptOutcome.NotRun, reason, retryAfterMs};
+        return {
+          outcome: AttemptOutcome.NotRun,
+          reason,
+          retryAfterMs,
+          hasLostService,
+          referral,
+        };
       case RelayOutcome.Failed:
         return {outcome: AttemptOutcome.Incomplete, reason};
       case RelayOutcome.Invalid:
@@ -70,7 +89,10 @@
       headers,
       request.metadata.requestId,
     );
-    if (verdict === ResponseVerdict.Valid) return undefined;
+    if (verdict === ResponseVerdict.Valid) {
+      components.relayPeers.recordAnswer(decision.backend, service);
+      return undefined;
+    }
     failures.eject(monotonicMs());
     return {outcome: AttemptOutcome.Incomplete, reason: 'not a valid response'};
   }
--- a/packages/gateway/src/relay/relay_gate.ts
+++ b/packages/gateway/src/relay/relay_gate.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import type {EntryPeer} from '@vanillamux/protocol';
 import type {ServiceReach} from '../reach/service_reach.js';
+import type {RelayRefusal} from './relay_refusal.js';
 import {parseRelaySource, type RelaySource} from './relay_source.js';
 
 /**
@@ -46,15 +47,17 @@
     source: RelaySource,
     service: string,
     configVersion: number,
-  ): string | undefined {
+  ): RelayRefusal | undefined {
     const {reach, isDraining} = this.options;
-    if (isDraining()) return 'this entry host is about to stop';
+    const hasLostService = reach.isLost(service);
+    const refuse = (reason: string): RelayRefusal => ({reason, hasLostService});
+    if (isDraining()) return refuse('this entry host is about to stop');
     if (configVersion < source.configVersion)
-      return 'this entry host has an older configuration';
-    if (reach.isLost(service))
-      return 'this entry host does not reach the service either';
+      return refuse('this entry host has an older configuration');
+    if (hasLostService)
+      return refuse('this entry host does not reach the service either');
     if (this.relayedCount > MAX_RELAYED)
-      return 'this entry host relays too many requests';
+      return refuse('this entry host relays too many requests');
     return undefined;
   }
 }
--- a/packages/gateway/src/relay/relay_header.ts
+++ b/packages/gateway/src/relay/relay_header.ts
@@ -4,4 +4,8 @@
   Request = 'vmux-relay',
   /** A `RelayOutcome`, in a response that the receiving host made itself. */
   Outcome = 'vmux-relay-outcome',
+  /** Present if the receiving host does not reach the service either. */
+  LostService = 'vmux-relay-lost',
+  /** Id of an entry host that may reach it, in such a response. */
+  Referral = 'vmux-relay-referral',
 }
--- a/packages/gateway/src/request/attempt_result.ts
+++ b/packages/gateway/src/request/attempt_result.ts
@@ -12,6 +12,10 @@
   readonly isDisconnected?: boolean;
   /** Helper that is at fault, rather than the backend server asked. */
   readonly faultyHelper?: Backend;
+  /** Whether an entry host refused to relay, as it has lost the service too. */
+  readonly hasLostService?: boolean;
+  /** Id of an entry host that such a refusal names instead. */
+  readonly referral?: string;
   /** Response with which the backend server reported a server error. */
   readonly failureResponse?: {
     readonly head: ResponseHead;
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -7,6 +7,7 @@
 import {RelayDirection} from '../relay/relay_direction.js';
 import {RelayOutcome} from '../relay/relay_outcome.js';
 import {relayOutcomeHeaders} from '../relay/relay_outcome_headers.js';
+import {relayRefusalHeaders} from '../relay/relay_refusal_headers.js';
 import type {RelaySource} from '../relay/relay_source.js';
 import {AbortReason} from './abort_reason.js';
 import type {ClientRequest} from './client_request.js';
@@ -135,8 +136,15 @@
     const relayRefusal =
       relay &&
       components.relayGate.refusal(relay, service.name, table.config.version);
-    if (relayRefusal)
-      return refuse({status: STATUS_UNAVAILABLE, reason: relayRefusal});
+    if (relayRefusal) {
+      const {reason, hasLostService} = relayRefusal;
+      const headers = hasLostService
+        ? relayRefusalHeaders(
+            components.relayPeers.referral(service.name, relay.from),
+          )
+        : undefined;
+      return refuse({status: STATUS_UNAVAILABLE, reason, headers});
+    }
     const body = await readBody(req, table.config.limits.maxBodyBytes);
     if (!body.ok) {
       if (body.error.code !== ErrorCodes.BodyTooLarge) return;
@@ -258,6 +266,7 @@
     const headers = {
       ...this.components.dialect.writeResponse(metadata.requestId),
       ...(relay && relayOutcomeHeaders(outcome)),
+      ...response.headers,
     };
     sendErrorResponse(res, {...response, headers});
   }
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -15,6 +15,7 @@
 import {PeerDestination} from '../relay/peer_destination.js';
 import {RelayOutcome} from '../relay/relay_outcome.js';
 import {relayOutcomeHeaders} from '../relay/relay_outcome_headers.js';
+import {relayRefusalHeaders} from '../relay/relay_refusal_headers.js';
 import {BackendDestination} from './backend_destination.js';
 import type {Destination} from './destination.js';
 import type {ClientRequest} from './client_request.js';
@@ -37,6 +38,11 @@
 const MAX_REJECTIONS = 4;
 /** Entry hosts that may refuse to relay, after which no further one is asked. */
 const MAX_REFUSED_RELAYS = 3;
+/**
+ * Entry hosts that may say that they have lost the service too, after which no
+ * further one is asked. Each takes a round trip and is not asked again.
+ */
+const MAX_LOST_PEERS = 16;
 /** Delay before a retry after an exchange in which the request did not run. */
 const RETRY_DELAY_MS = 30;
 /** Interval at which a request checks for the first backend server. */
@@ -67,6 +73,10 @@
   private rejections = 0;
   /** Entry hosts that did not relay the request. */
   private refusedRelays = 0;
+  /** Entry hosts that have lost the service too. */
+  private lostPeers = 0;
+  /** Entry host that the latest of them has named instead. */
+  private referral?: string;
   /** Retry-After of a response to a request that did not run. */
   private retryAfterMs = RETRY_AFTER_MS;
   private failureResponse?: AttemptResult['failureResponse'];
@@ -254,13 +264,16 @@
     const mayRelay =
       !request.relay &&
       components.reach.isLost(name) &&
-      this.refusedRelays < MAX_REFUSED_RELAYS;
+      this.refusedRelays < MAX_REFUSED_RELAYS &&
+      this.lostPeers < MAX_LOST_PEERS;
     if (!mayRelay) return undefined;
-    return components.relayPeers.choose(
-      name,
-      peer => candidates.isExcluded(peer),
+    return components.relayPeers.choose({
+      service: name,
+      isExcluded: peer => candidates.isExcluded(peer),
+      referral: this.referral,
+      mayAskAgain: this.lostPeers === 0,
       nowMs,
-    );
+    });
   }
 
   /** Whether every attempt on a backend server of the service would fail. */
@@ -339,6 +352,11 @@
       result.outcome === AttemptOutcome.NotSent ||
       result.outcome === AttemptOutcome.NotRun;
     if (wasRejected) {
+      if (result.hasLostService) {
+        this.lostPeers++;
+        this.referral = result.referral;
+        return result;
+      }
       if (decision.isRelay) this.refusedRelays++;
       else this.rejections++;
       await sleep(RETRY_DELAY_MS, controller.signal);
@@ -516,12 +534,19 @@
   }
 
   private createErrorHeaders(mayHaveRun: boolean): Record<string, string> {
-    const {metadata, relay} = this.request;
-    const headers = this.components.dialect.writeResponse(metadata.requestId);
+    const {metadata, relay, service} = this.request;
+    const {dialect, reach, relayPeers} = this.components;
+    const headers = dialect.writeResponse(metadata.requestId);
     if (!relay) return headers;
     const unrun =
       this.possibleArrivals > 0 ? RelayOutcome.NotRun : RelayOutcome.NotSent;
     const outcome = mayHaveRun ? RelayOutcome.Failed : unrun;
-    return {...headers, ...relayOutcomeHeaders(outcome)};
+    const hasLostService = !mayHaveRun && reach.isLost(service.name);
+    return {
+      ...headers,
+      ...relayOutcomeHeaders(outcome),
+      ...(hasLostService &&
+        relayRefusalHeaders(relayPeers.referral(service.name, relay.from))),
+    };
   }
 }
