fix(gateway): a host finds out that it is cut off without the requests of clients

What clients saw: at a host that is cut off by resets, each request that may run once fails with 502, for as long as the service gets few of them there.

Cause: three servers have to fail within 5 s. With one request a second each failure ends its request, as it may have run; with one in 6 s the failures never add up. Tests had 40 requests a second and a host.

Change: a failure that no response precedes within 250 ms casts doubt on the service; connections to three servers, without a request, settle it. The other services are verified in the same way once one is lost.

--- a/packages/gateway/src/dialect/end_to_end_headers.ts
+++ b/packages/gateway/src/dialect/end_to_end_headers.ts
@@ -18,6 +18,8 @@
   'upgrade',
   RelayHeader.Request,
   RelayHeader.Outcome,
+  RelayHeader.LostService,
+  RelayHeader.Referral,
 ]);
 
 /**
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -45,6 +45,11 @@
     return all.filter(({presence}) => presence.state === PresenceState.Silent);
   }
 
+  /** Returns the services that have had a backend server. */
+  services(): string[] {
+    return [...this.backendsByService.keys()];
+  }
+
   /** Returns the current incarnation of a backend server. */
   get(id: string): Backend | undefined {
     return this.backends.get(id);
--- a/packages/gateway/src/reach/reach_prober.ts
+++ b/packages/gateway/src/reach/reach_prober.ts
@@ -5,27 +5,37 @@
 import type {ServiceReach} from './service_reach.js';
 
 const PROBE_INTERVAL_MS = 250;
-/** Backend servers that are probed at a time, chosen at random. */
+/** Backend servers of a lost service that are probed at a time. */
 const PROBED_BACKENDS = 2;
+/** Backend servers of a service in doubt that are probed; enough to lose it. */
+const VERIFIED_BACKENDS = 3;
 
 /** Options of a `ReachProber`. */
 export interface ReachProberOptions {
   readonly reach: ServiceReach;
-  readonly backends: BackendPool;
-  readonly connections: ConnectionPools;
+  readonly backends: Pick<BackendPool, 'candidates' | 'services'>;
+  readonly connections: Pick<ConnectionPools, 'probe'>;
 }
 
 /**
- * Finds out when a lost service can be reached again. No client has to try:
- * connections are opened, without a request, until one is accepted.
+ * Opens connections without a request, to find out when a lost service can be
+ * reached again, and whether one in doubt is lost. Few requests would find out
+ * late, and those that may run once would be lost to it.
  */
 export class ReachProber {
   private readonly stopping = new AbortController();
+  /** When each service was last verified. */
+  private readonly verifiedMs = new Map<string, number>();
 
   constructor(private readonly options: ReachProberOptions) {
-    void options.reach.changes().observe(({service, isLost}) => {
-      if (isLost) void this.probe(service);
+    const {reach, backends} = options;
+    void reach.changes().observe(({service, isLost}) => {
+      if (!isLost) return;
+      void this.probe(service);
+      // What cuts the host off from one service may cut it off from others.
+      for (const other of backends.services()) void this.verify(other);
     });
+    void reach.doubts().observe(service => void this.verify(service));
   }
 
   /** Ends all probes. */
@@ -34,18 +44,13 @@
   }
 
   private async probe(service: string): Promise<void> {
-    const {reach, connections} = this.options;
+    const {reach} = this.options;
     const {signal} = this.stopping;
     while (reach.isLost(service) && !signal.aborted) {
-      const probed = this.chooseBackends(service);
-      const reached = await Promise.all(
-        probed.map(async backend =>
-          (await connections.probe(backend)) ? backend : undefined,
-        ),
-      );
-      const first = reached.find(backend => backend !== undefined);
+      const reached = await this.probeSome(service, PROBED_BACKENDS);
+      const first = reached.find(({isReached}) => isReached);
       if (first) {
-        reach.recordContact(service, first.presence.id, monotonicMs());
+        reach.recordContact(service, first.backendId, monotonicMs());
         return;
       }
       reach.confirmLoss(service);
@@ -53,12 +58,39 @@
     }
   }
 
-  private chooseBackends(service: string): Backend[] {
-    const all = this.options.backends.candidates(service);
+  /** Records the failures of probes, if all of them fail. */
+  private async verify(service: string): Promise<void> {
+    const {reach, backends} = this.options;
+    const {signal} = this.stopping;
+    const verifiedMs = this.verifiedMs.get(service) ?? -Infinity;
+    const isRecent = monotonicMs() - verifiedMs < PROBE_INTERVAL_MS;
+    if (isRecent || reach.isLost(service) || signal.aborted) return;
+    this.verifiedMs.set(service, monotonicMs());
+    const probed = await this.probeSome(service, VERIFIED_BACKENDS);
+    // One that accepts a connection may still reset it with a request.
+    if (probed.some(({isReached}) => isReached) || signal.aborted) return;
+    const {length} = backends.candidates(service);
+    for (const {backendId} of probed)
+      reach.recordFailure(service, backendId, length, monotonicMs());
+  }
+
+  /** Probes some backend servers of a service, chosen at random. */
+  private probeSome(
+    service: string,
+    count: number,
+  ): Promise<Array<{backendId: string; isReached: boolean}>> {
+    const {backends, connections} = this.options;
+    const all = backends.candidates(service);
     const start = Math.floor(Math.random() * all.length);
-    return [...all.slice(start), ...all.slice(0, start)].slice(
-      0,
-      PROBED_BACKENDS,
+    const chosen: Backend[] = [
+      ...all.slice(start),
+      ...all.slice(0, start),
+    ].slice(0, count);
+    return Promise.all(
+      chosen.map(async backend => ({
+        backendId: backend.presence.id,
+        isReached: await connections.probe(backend),
+      })),
     );
   }
 }
--- a/packages/gateway/src/reach/service_reach.ts
+++ b/packages/gateway/src/reach/service_reach.ts
@@ -12,6 +12,9 @@
 
 const log = getLogger('reach');
 
+/** Time after a response in which a failure casts no doubt on the service. */
+const CONTACT_TTL_MS = 250;
+
 interface ServiceEvidence {
   /** Backend servers that failed since the last response, by time. */
   readonly failedAtMs: Map<string, number>;
@@ -26,13 +29,21 @@
  */
 export class ServiceReach {
   private readonly services = new Map<string, ServiceEvidence>();
+  /** When a server of each service last responded. */
+  private readonly contactMs = new Map<string, number>();
   private readonly changeBus = new EventBus<ReachChange>();
+  private readonly doubtBus = new EventBus<string>();
 
   /** Streams each service that is lost or reached again. */
   changes(): Stream<ReachChange> {
     return this.changeBus.stream();
   }
 
+  /** Streams each service of which a server failed and none responded lately. */
+  doubts(): Stream<string> {
+    return this.doubtBus.stream();
+  }
+
   /**
    * Records that a backend server could not be reached, or fell silent or broke
    * off before it responded. `backends` is the number of servers of the service.
@@ -53,7 +64,11 @@
     evidence.failedAtMs.set(backendId, nowMs);
     const {size} = evidence.failedAtMs;
     if (evidence.lostMs !== undefined) return;
-    if (size < Math.max(1, Math.min(LOST_BACKENDS, backends))) return;
+    if (size < Math.max(1, Math.min(LOST_BACKENDS, backends))) {
+      const contactMs = this.contactMs.get(service) ?? -Infinity;
+      if (nowMs - contactMs > CONTACT_TTL_MS) this.doubtBus.emit(service);
+      return;
+    }
     evidence.lostMs = nowMs;
     log.warn('Lost every backend server of a service.', {
       service,
@@ -66,6 +81,7 @@
 
   /** Records that a backend server has responded or accepted a connection. */
   recordContact(service: string, backendId: string, nowMs: number): void {
+    this.contactMs.set(service, nowMs);
     const evidence = this.services.get(service);
     if (!evidence) return;
     this.services.delete(service);
