fix(gateway): a Retry-After that comes twice is read

Cause: the HTTP client gives a field that comes twice as a list, against the type of Node's headers. Reading it threw, so the pause was not learnt and the request ended as an internal error instead of being sent elsewhere.

Change: several values are read, and the longest counts.

--- a/packages/gateway/__tests__/read_retry_after_ms.test.ts
+++ b/packages/gateway/__tests__/read_retry_after_ms.test.ts
@@ -8,7 +8,9 @@
 const DAY_MS = 86_400_000;
 
 describe('readRetryAfterMs', () => {
-  const cases: Array<[string, string | undefined, number | undefined]> = [
+  const cases: Array<
+    [string, string | string[] | undefined, number | undefined]
+  > = [
     ['no header', undefined, undefined],
     ['an empty value', '', undefined],
     ['zero', '0', 0],
@@ -23,6 +25,8 @@
     ['not a number', 'NaN', undefined],
     ['a date', 'Thu, 01 Jan 2026 12:00:05 GMT', 5_000],
     ['a date that is past', 'Thu, 01 Jan 2026 11:00:00 GMT', 0],
+    ['two values, of which the longer one counts', ['2', '3'], 3_000],
+    ['two values, of which one is none', ['soon', '2'], 2_000],
     ['a date that is none', 'Thu, 99 Foo 2026', undefined],
   ];
   for (const [name, value, expected] of cases) {
--- a/packages/gateway/src/dialect/read_retry_after_ms.ts
+++ b/packages/gateway/src/dialect/read_retry_after_ms.ts
@@ -7,20 +7,27 @@
 
 /**
  * Reads a `Retry-After` header (RFC 9110, section 10.2.3): seconds, here also
- * with a fraction, or a date. Returns milliseconds, a day at most and 0 for a
- * date that is past, or `undefined` for anything else.
+ * with a fraction, or a date. Of several, the longest counts. Returns
+ * milliseconds, a day at most and 0 for a date that is past, or `undefined` for
+ * anything else.
  */
 export function readRetryAfterMs(
-  value: string | undefined,
+  value: string | readonly string[] | undefined,
   nowAt = Date.now(),
 ): number | undefined {
-  const text = value?.trim() ?? '';
-  const delayMs = SECONDS_PATTERN.test(text)
-    ? Number(text) * MS_PER_SECOND
-    : DATE_PATTERN.test(text)
-      ? Math.max(0, Date.parse(text) - nowAt)
-      : Number.NaN;
-  return Number.isNaN(delayMs)
+  const delays = [value ?? []]
+    .flat()
+    .map(text => parseDelayMs(text.trim(), nowAt))
+    .filter(delayMs => !Number.isNaN(delayMs));
+  return delays.length === 0
     ? undefined
-    : Math.min(Math.round(delayMs), MAX_RETRY_AFTER_MS);
+    : Math.min(Math.round(Math.max(...delays)), MAX_RETRY_AFTER_MS);
+}
+
+/** Returns a delay in milliseconds, or `NaN`. */
+function parseDelayMs(text: string, nowAt: number): number {
+  if (SECONDS_PATTERN.test(text)) return Number(text) * MS_PER_SECOND;
+  return DATE_PATTERN.test(text)
+    ? Math.max(0, Date.parse(text) - nowAt)
+    : Number.NaN;
 }
