fix(gateway): orders to an engine keep to the pause that it wants

What servers saw: an engine that turns a renewal of KV memory away with a Retry-After gets the renewal each 100 ms within its pause, 25 in 2.5 s, where two are the bound; a release that it turns away comes three times at once.

Cause: requests ask whether an engine wants a pause, orders did not; a refused order was repeated like a lost one.

Change: a renewal is put off to the end of the pause, or as long as the lease allows; a release is not repeated within it, as the lease ends by itself.

--- a/packages/gateway/src/memory/memory_reservation_manager.ts
+++ b/packages/gateway/src/memory/memory_reservation_manager.ts
@@ -1,8 +1,9 @@
 import {randomUUID} from 'node:crypto';
-import {getLogger, sleep} from '@vanillamux/shared';
+import {getLogger, monotonicMs, sleep} from '@vanillamux/shared';
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Dialect} from '../dialect/dialect.js';
+import type {Backend} from '../fleet/backend.js';
 import type {BackendSignals} from '../fleet/backend_signals.js';
 import type {MemoryShare} from '../placement/memory_share.js';
 import type {MemoryReservation} from './memory_reservation.js';
@@ -80,15 +81,20 @@
     reservation: MemoryReservation,
     signal: AbortSignal,
   ): Promise<void> {
+    const {backend} = reservation;
     let isConfirmed = true;
+    let leaseEndMs = monotonicMs() + LEASE_MS;
     while (!signal.aborted) {
       await sleep(
         isConfirmed ? RENEW_INTERVAL_MS : RENEW_RETRY_DELAY_MS,
         signal,
       );
+      await sleep(pauseBeforeRenewalMs(backend, leaseEndMs), signal);
       if (signal.aborted) return;
       const wasConfirmed = isConfirmed;
+      const sentMs = monotonicMs();
       isConfirmed = await this.sendOrder(reservation, reservation.tokens);
+      if (isConfirmed) leaseEndMs = sentMs + LEASE_MS;
       if (isConfirmed || !wasConfirmed) continue;
       log.warn('An engine did not confirm renewing KV memory; sending again.', {
         backend: reservation.backend.presence.id,
@@ -105,6 +111,7 @@
   private async release(reservation: MemoryReservation): Promise<void> {
     for (let attempt = 0; attempt < MAX_RELEASE_ATTEMPTS; attempt++) {
       if (await this.sendOrder(reservation)) return;
+      if (reservation.backend.pause.remainingMs(monotonicMs()) > 0) break;
     }
     log.warn(
       'An engine did not confirm releasing KV memory; its lease expires.',
@@ -158,3 +165,15 @@
     backendSignals.learn(backend, metadata, reservationId);
   }
 }
+
+/**
+ * Time for which a renewal is put off, as the engine wants a pause: to its end,
+ * or as long as the lease allows. Once the lease has ended, nothing is left to
+ * keep within the pause.
+ */
+function pauseBeforeRenewalMs({pause}: Backend, leaseEndMs: number): number {
+  const nowMs = monotonicMs();
+  const pauseMs = pause.remainingMs(nowMs);
+  const leftMs = leaseEndMs - ORDER_TIMEOUT_MS - nowMs;
+  return leftMs > 0 ? Math.min(pauseMs, leftMs) : pauseMs;
+}
