fix(platform): an odd report of a backend server is refused, and hides no sound one

What operators would see: a heartbeat with sequence 1e400 or born 1e999 is taken with 200. No report of the server is heard after it, as none is newer, and JSON between hosts turns the number into null, for which peers drop whole notices.

Cause: the schema bounded numbers from below alone; infinity and numbers beyond 2^53 passed, port 0, capacities and names of any size too.

Change: one schema says what a report may contain, at the API and for each report from control hosts, which may be older; the others of a list hold.

--- a/packages/gateway/__tests__/fleet.test.ts
+++ b/packages/gateway/__tests__/fleet.test.ts
@@ -62,6 +62,26 @@
   });
 });
 
+describe('a report that a control host of an older version passes on', () => {
+  const ODD: Array<[string, object]> = [
+    ['an infinite sequence, which JSON turns into null', {sequence: null}],
+    ['an infinite incarnation', {incarnation: null}],
+    ['port 0', {address: {host: '127.0.0.1', port: 0}}],
+    ['a capacity of 1e308', {capacity: 1e308}],
+  ];
+  for (const [name, fields] of ODD) {
+    it(`with ${name} is ignored, and the others hold`, () => {
+      const pool = new BackendPool();
+      const odd = {...createPresence({id: 'odd'}), ...fields} as Presence;
+      pool.apply([createPresence({id: 'b0'}), odd, createPresence({id: 'b1'})]);
+      const ids = pool.candidates('notes').map(({presence}) => presence.id);
+      assert.deepEqual(ids, ['b0', 'b1']);
+      pool.apply([createPresence({id: 'odd', sequence: 2})]);
+      assert.equal(pool.candidates('notes').length, 3);
+    });
+  }
+});
+
 describe('BackendPool', () => {
   const {Ready, Draining, Silent, Gone} = PresenceState;
   const CASES: Array<{
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -1,5 +1,9 @@
 import {PresenceTable} from '@vanillamux/membership';
-import {PresenceState, type Presence} from '@vanillamux/protocol';
+import {
+  PresenceState,
+  presenceSchema,
+  type Presence,
+} from '@vanillamux/protocol';
 import {EventBus, getLogger} from '@vanillamux/shared';
 import type {Stream} from 'most';
 import {DepartureTable} from '../departures/departure_table.js';
@@ -23,9 +27,17 @@
     return this.endedBus.stream();
   }
 
-  /** Applies reports from a control host. */
+  /** Applies reports from a control host; the others hold without an invalid one. */
   apply(reports: readonly Presence[]): void {
     for (const report of reports) {
+      const {success, error} = presenceSchema.safeParse(report);
+      if (!success) {
+        log.warn('Ignored the invalid report of a backend server.', {
+          backend: report.id,
+          reason: error.message,
+        });
+        continue;
+      }
       for (const change of this.table.apply(report)) this.applyChange(change);
     }
     this.table.deleteExpired();
--- a/packages/protocol/src/announcement_schema.ts
+++ b/packages/protocol/src/announcement_schema.ts
@@ -1,9 +1,9 @@
-import {addressSchema} from '@vanillamux/shared';
+import {destinationSchema} from '@vanillamux/shared';
 import {z} from 'zod';
 import {BackendKind} from './backend_kind.js';
 import {BackendState} from './backend_state.js';
 
-const nonNegativeNumber = z.number().min(0);
+const nonNegativeNumber = z.number().min(0).finite();
 const MAX_CACHE_EVENTS = 4_096;
 const MAX_LEASE_MS = 60_000;
 
@@ -24,13 +24,13 @@
 export const announcementSchema = z.object({
   id: z.string().min(1),
   /** Identifies one start of the process; larger after each restart. */
-  incarnation: z.number().int().min(0),
+  incarnation: z.number().int().min(0).safe(),
   /** Orders the announcements of one incarnation. */
-  sequence: z.number().int().min(0),
+  sequence: z.number().int().min(0).safe(),
   kind: z.nativeEnum(BackendKind),
   /** Name of the service, for `BackendKind.Service`. */
   service: z.string().optional(),
-  address: addressSchema,
+  address: destinationSchema,
   failureDomain: z.string().min(1),
   models: z.array(z.string()).default([]),
   memoryTokens: nonNegativeNumber.default(0),
--- a/packages/protocol/src/presence_schema.ts
+++ b/packages/protocol/src/presence_schema.ts
@@ -1,18 +1,26 @@
-import {addressSchema} from '@vanillamux/shared';
+import {destinationSchema} from '@vanillamux/shared';
 import {z} from 'zod';
 import {PresenceState} from './presence_state.js';
 
+/** Far above what a backend server runs at a time. */
+const MAX_CAPACITY = 1_000_000;
+const MAX_NAME_LENGTH = 256;
+
+const nameSchema = z.string().max(MAX_NAME_LENGTH);
+/** Larger numbers lose digits, and JSON has no infinite ones. */
+const countSchema = z.number().int().min(0).safe();
+
 /** A report of the state of a backend server. */
 export const presenceSchema = z.object({
-  id: z.string().min(1),
+  id: nameSchema.min(1),
   /** Start of the process in Unix milliseconds; orders its incarnations. */
-  incarnation: z.number().min(0),
+  incarnation: countSchema,
   /** Orders the reports of one incarnation. */
-  sequence: z.number().min(0),
+  sequence: countSchema,
   state: z.nativeEnum(PresenceState),
-  service: z.string().min(1),
-  address: addressSchema,
-  failureDomain: z.string(),
+  service: nameSchema.min(1),
+  address: destinationSchema,
+  failureDomain: nameSchema,
   /** Maximum number of concurrent requests. */
-  capacity: z.number().min(0),
+  capacity: z.number().int().min(0).max(MAX_CAPACITY),
 });
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,5 +1,6 @@
 export {type Address} from './address.js';
 export {addressSchema} from './address_schema.js';
+export {destinationSchema} from './destination_schema.js';
 export {RingBuffer} from './ring_buffer.js';
 export {configureLogging, type LoggingOptions} from './configure_logging.js';
 export {Deferred} from './deferred.js';
