fix(gateway): a host that stops takes no request that it would have to cut

What clients saw: a request that came late in the grace time on an open connection was passed on, and answered 504 or, in the middle of a stream, cut at its end; one that may run once stayed unknown.

Cause: the stop closed idle connections and took whatever came on the others, however long it would take.

Change: once the load balancer has been told, a request that may run once is taken only if all of its time is left, another one if the longest of its route's latest durations is, half as much again added. The others are refused at once as not run, with a short Retry-After and Connection: close.

--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -11,6 +11,7 @@
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestHandler} from '../src/request/request_handler.js';
+import {StopGate} from '../src/request/stop_gate.js';
 import {ServiceReach} from '../src/reach/service_reach.js';
 import {createBackends} from './create_backend.js';
 import {createConfig, createRoute} from './create_config.js';
@@ -179,6 +180,7 @@
       observeRequest: () => undefined,
       countAttempt: () => undefined,
     },
+    stopGate: new StopGate(),
     isDraining: () => false,
   };
   return {...components, ...overrides} as unknown as GatewayComponents;
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -17,6 +17,7 @@
 import type {ClientRequest} from '../src/request/client_request.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestRunner} from '../src/request/request_runner.js';
+import {StopGate} from '../src/request/stop_gate.js';
 import {SharedRetryBudget} from '../src/request/shared_retry_budget.js';
 import {ServiceReach} from '../src/reach/service_reach.js';
 import {createBackends, createWork} from './create_backend.js';
@@ -79,6 +80,7 @@
     },
     dialect: {writeRequest: () => [], writeResponse: () => ({})},
     connections: {poolFor: () => ({send: createSilentExchange})},
+    stopGate: new StopGate(),
     isDraining: () => false,
   };
   return {...components, ...overrides} as unknown as GatewayComponents;
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -15,6 +15,7 @@
 import type {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import type {RequestRecorder} from './request_recorder.js';
+import type {StopGate} from './stop_gate.js';
 import type {SharedRetryBudget} from './shared_retry_budget.js';
 
 /** Components of an entry host that handle a request. */
@@ -39,6 +40,8 @@
   readonly factSync: FactSync;
   readonly requestRecorder: RequestRecorder;
   readonly metrics: GatewayMetrics;
+  /** Requests that a host takes that is about to stop. */
+  readonly stopGate: StopGate;
   /** Whether the host is draining before it stops. */
   readonly isDraining: () => boolean;
 }
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -24,6 +24,8 @@
  * are reachable again store a part of it.
  */
 const RECORD_FULL_RETRY_AFTER_MS = 1_000;
+/** Retry-After of a host that stops; its connection is closed. */
+const STOPPING_RETRY_AFTER_MS = 50;
 /**
  * Longest wait for the first configuration. After a restart of all hosts, the
  * control group needs about a second to elect a leader.
@@ -103,6 +105,7 @@
   ): Promise<void> {
     const startedMs = monotonicMs();
     const {components} = this;
+    if (components.isDraining()) res.shouldKeepAlive = false;
     const metadata = components.dialect.readRequest(req.headers);
     const refuse = (response: ErrorResponse): void =>
       this.refuse(res, metadata, response, relay);
@@ -145,6 +148,12 @@
         : undefined;
       return refuse({status: STATUS_UNAVAILABLE, reason, headers});
     }
+    const timeoutMs = Math.min(metadata.timeoutMs ?? Infinity, route.timeoutMs);
+    if (components.stopGate.refuses(route, timeoutMs, monotonicMs())) {
+      const reason = 'this entry host stops before the request could end';
+      const retryAfterMs = STOPPING_RETRY_AFTER_MS;
+      return refuse({status: STATUS_UNAVAILABLE, reason, retryAfterMs});
+    }
     const body = await readBody(req, table.config.limits.maxBodyBytes);
     if (!body.ok) {
       if (body.error.code !== ErrorCodes.BodyTooLarge) return;
@@ -153,7 +162,6 @@
       return refuse({status: 413, reason});
     }
     const controller = new AbortController();
-    const timeoutMs = Math.min(metadata.timeoutMs ?? Infinity, route.timeoutMs);
     const request: ClientRequest = {
       req,
       res,
@@ -201,6 +209,8 @@
       this.runningRequests.delete(controller);
       clearTimeout(timer);
       res.off('close', onClose);
+      const {route, startedMs} = request;
+      this.components.stopGate.recordDuration(route, monotonicMs() - startedMs);
     }
   }
 
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -41,6 +41,7 @@
 import {RequestHandler} from '../request/request_handler.js';
 import {RequestRecorder} from '../request/request_recorder.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
+import {StopGate} from '../request/stop_gate.js';
 import {ClientServer} from './client_server.js';
 import {createProbeServer} from './create_probe_server.js';
 import type {GatewayGauges} from './gateway_gauges.js';
@@ -100,6 +101,7 @@
   private readonly links: ControlLinks;
   private readonly recorder: Recorder;
   private readonly stopping = new AbortController();
+  private readonly stopGate = new StopGate();
   private readonly notices: PeerNotices;
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
@@ -226,6 +228,7 @@
     this.readiness.startDraining();
     log.info('Draining.', {inFlight: this.handler.inFlight});
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
+    this.stopGate.close(killMs - EXIT_MARGIN_MS);
     for (const server of this.servers) server.close();
     await this.drainUntil(killMs - EXIT_MARGIN_MS);
     log.info('Stopped.', {inFlight: this.handler.inFlight});
@@ -349,6 +352,7 @@
       hostId: settings.id,
       factSync: this.factSync,
       metrics: this.metrics,
+      stopGate: this.stopGate,
       isDraining: () => this.readiness.draining,
     };
   }
