fix(gateway): a probe whose connection is reset late is no contact

Cause: a probe held its connection for 30 ms; a reset that takes longer, or that this host reads later as it is busy, counted as contact.

Change: 100 ms, ended by a reset at once; what has arrived is read before the verdict.

--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -1,12 +1,16 @@
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 import {sleep} from '@vanillamux/shared';
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
 import {connectSocket} from './connect_socket.js';
 import type {ResolveAddress} from './resolve_address.js';
 
-/** Time in which a connection that leads nowhere is reset. */
-const PROBE_HOLD_MS = 30;
+/**
+ * Time in which a connection that leads nowhere is reset: a round trip within a
+ * region, and the delay of a busy host.
+ */
+const PROBE_HOLD_MS = 100;
 
 /** Holds the connection pool of each backend server. */
 export class ConnectionPools {
@@ -39,10 +43,14 @@
       ),
     );
     if (!socket) return false;
-    let hasFailed = socket.destroyed;
-    socket.on('error', () => (hasFailed = true));
-    socket.on('close', () => (hasFailed = true));
-    await sleep(PROBE_HOLD_MS);
+    const failed = new AbortController();
+    if (socket.destroyed) failed.abort();
+    socket.on('error', () => failed.abort());
+    socket.on('close', () => failed.abort());
+    await sleep(PROBE_HOLD_MS, failed.signal);
+    // A reset that arrived while this host was busy is read first.
+    await setImmediate();
+    const hasFailed = failed.signal.aborted;
     socket.destroy();
     return !hasFailed;
   }
