feat(gateway): a peer's lost service is verified by the hosts that hear of it

What clients saw: after a cut of most hosts, the first request at each of them failed or took the connect timeouts of several servers, as each host found out for itself; one that may run once got 502 where connections are reset late.

Change: a notice that a peer has lost a service casts doubt on it, at most once a second, after a random delay of up to 200 ms: connections to three servers, without a request, show whether this host is cut off too.

--- a/packages/gateway/__tests__/peer_reach.test.ts
+++ b/packages/gateway/__tests__/peer_reach.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setImmediate} from 'node:timers/promises';
-import {EventBus} from '@vanillamux/shared';
+import {EventBus, sleep} from '@vanillamux/shared';
 import type {PeerFacts} from '../src/peers/peer_facts.js';
 import {PeerReach} from '../src/reach/peer_reach.js';
 import type {ReachChange} from '../src/reach/reach_change.js';
@@ -10,11 +10,15 @@
 const SERVICE = 'notes';
 const SYNC_INTERVAL_MS = 1_000;
 const SYNC_RECEIVERS = 3;
+/** Above the delay after which a notice casts doubt. */
+const SPREAD_MS = 300;
 const WATCHED_MS = 600_000;
 
 /** What one host knows of another, the only one that loses the service. */
 class Pair {
   nowMs = 0;
+  /** Services on which notices have cast doubt at the receiver. */
+  readonly doubts: string[] = [];
   private readonly received = new EventBus<ReceivedReachNotice>();
   private readonly changes = new EventBus<ReachChange>();
   private lost: string[] = [];
@@ -28,6 +32,7 @@
     const idle = {
       changes: () => new EventBus<ReachChange>().stream(),
       lostServices: () => [],
+      doubt: (service: string) => void this.doubts.push(service),
     };
     const now = (): number => this.nowMs;
     const broadcastFacts = (facts: PeerFacts): void => this.deliver(facts);
@@ -40,6 +45,7 @@
       reach: {
         changes: () => this.changes.stream(),
         lostServices: () => this.lost,
+        doubt: () => undefined,
       },
       now,
     });
@@ -112,6 +118,23 @@
   });
 }
 
+describe('a notice of a peer that has lost a service', () => {
+  it('casts doubt on it, once for all notices of a second', async () => {
+    const pair = new Pair(3);
+    await setImmediate();
+    await pair.change([SERVICE]);
+    await pair.passCycle();
+    await sleep(SPREAD_MS);
+    assert.deepEqual(pair.doubts, [SERVICE]);
+    await pair.change([]);
+    await pair.change([SERVICE]);
+    await pair.change([]);
+    await pair.change([SERVICE]);
+    await sleep(SPREAD_MS);
+    assert.deepEqual(pair.doubts, [SERVICE, SERVICE]);
+  });
+});
+
 describe('what a host believes of a peer', () => {
   it('follows the refusals and the responses of the peer', () => {
     const {receiver} = new Pair(3);
--- a/packages/gateway/src/reach/peer_reach.ts
+++ b/packages/gateway/src/reach/peer_reach.ts
@@ -1,4 +1,4 @@
-import {getLogger, monotonicMs} from '@vanillamux/shared';
+import {getLogger, monotonicMs, sleep} from '@vanillamux/shared';
 import {FactSource} from '../peers/fact_source.js';
 import {FactSync} from '../peers/fact_sync.js';
 import type {PeerFacts} from '../peers/peer_facts.js';
@@ -13,6 +13,13 @@
 const STATEMENT_CYCLES = 3;
 /** Shortest time for which a statement counts. */
 const MIN_STATEMENT_TTL_MS = 4_000;
+/**
+ * Interval at which notices of peers may cast doubt on what this host reaches.
+ * Many hosts that are cut off one after another would cause as many probes.
+ */
+const DOUBT_INTERVAL_MS = 1_000;
+/** Longest random delay of that, so that not all hosts probe at once. */
+const MAX_DOUBT_DELAY_MS = 200;
 /** Bound of a notice. Peers learn of further services when they ask. */
 const MAX_SERVICES = 64;
 
@@ -31,7 +38,7 @@
     'broadcastFacts' | 'reachNotices' | 'peerCount'
   >;
   /** What this host reaches. */
-  readonly reach: Pick<ServiceReach, 'changes' | 'lostServices'>;
+  readonly reach: Pick<ServiceReach, 'changes' | 'lostServices' | 'doubt'>;
   readonly now?: () => number;
 }
 
@@ -43,6 +50,8 @@
  */
 export class PeerReach extends FactSource {
   private readonly statements = new Map<string, Statement>();
+  /** When a notice last cast doubt on each service. */
+  private readonly doubtedMs = new Map<string, number>();
   private readonly now: () => number;
   /** A host that starts takes back what it has said before. */
   private changedMs: number;
@@ -102,9 +111,21 @@
 
   private receive({from, notice}: ReceivedReachNotice): void {
     this.deleteExpired();
+    // What cuts off a peer may cut off this host too, which may be idle.
+    for (const service of notice.lost)
+      if (!this.hasLost(from, service)) this.doubtOwn(service);
     this.store(from, new Set(notice.lost), 'notice');
   }
 
+  private doubtOwn(service: string): void {
+    const nowMs = this.now();
+    if (nowMs - (this.doubtedMs.get(service) ?? -Infinity) < DOUBT_INTERVAL_MS)
+      return;
+    this.doubtedMs.set(service, nowMs);
+    const delayMs = Math.random() * MAX_DOUBT_DELAY_MS;
+    void sleep(delayMs).then(() => this.options.reach.doubt(service));
+  }
+
   private store(
     peer: string,
     lost: ReadonlySet<string>,
--- a/packages/gateway/src/reach/service_reach.ts
+++ b/packages/gateway/src/reach/service_reach.ts
@@ -39,7 +39,7 @@
     return this.changeBus.stream();
   }
 
-  /** Streams each service of which a server failed and none responded lately. */
+  /** Streams each service in doubt. */
   doubts(): Stream<string> {
     return this.doubtBus.stream();
   }
@@ -66,7 +66,7 @@
     if (evidence.lostMs !== undefined) return;
     if (size < Math.max(1, Math.min(LOST_BACKENDS, backends))) {
       const contactMs = this.contactMs.get(service) ?? -Infinity;
-      if (nowMs - contactMs > CONTACT_TTL_MS) this.doubtBus.emit(service);
+      if (nowMs - contactMs > CONTACT_TTL_MS) this.doubt(service);
       return;
     }
     evidence.lostMs = nowMs;
@@ -79,6 +79,11 @@
     this.changeBus.emit({service, isLost: true});
   }
 
+  /** Casts doubt on a service. */
+  doubt(service: string): void {
+    this.doubtBus.emit(service);
+  }
+
   /** Records that a backend server has responded or accepted a connection. */
   recordContact(service: string, backendId: string, nowMs: number): void {
     this.contactMs.set(service, nowMs);
