fix(gateway): an engine with a request limit responds instead of helping

The class is a belief that only one kind of use can end, while another one uses up what is left.

Change: of the engines of a plan, one with a request limit decodes, with memory shares too. Pauses end by themselves and departures never end, so neither has it.

--- a/packages/gateway/__tests__/engine_placement_policy.test.ts
+++ b/packages/gateway/__tests__/engine_placement_policy.test.ts
@@ -11,6 +11,7 @@
   readonly answerTokens?: number;
   readonly goalMs?: number;
   readonly nowMs?: number;
+  readonly limited?: ReadonlySet<Backend>;
 }
 
 function place(
@@ -18,6 +19,7 @@
   options: PlaceOptions,
 ): PlacementDecision | undefined {
   const {promptTokens, answerTokens = 500, goalMs = 300, nowMs = 0} = options;
+  const {limited} = options;
   return new EnginePlacementPolicy('fd-a', () => 0).place({
     service: {
       name: 'notes',
@@ -37,12 +39,30 @@
       maxOutputTokens: answerTokens,
     },
     candidates: backends,
+    limited,
     nowMs,
     waitedMs: 0,
   });
 }
 
 describe('EnginePlacementPolicy', () => {
+  for (const {name, promptTokens} of [
+    {name: 'a prompt that is split', promptTokens: 120_000},
+    {name: 'a prompt beyond one memory', promptTokens: 1_100_000},
+  ])
+    it(`lets the engine with a request limit respond to ${name}`, () => {
+      const backends = createBackends(6);
+      for (const backend of backends) {
+        const decision = place(backends, {
+          promptTokens,
+          limited: new Set([backend]),
+        })!;
+        const engines = [decision.backend, ...decision.helpers];
+        assert.ok(engines.includes(backend), 'the engine takes part');
+        assert.equal(decision.backend, backend);
+      }
+    });
+
   it('places a short prompt on one engine', () => {
     const decision = place(createBackends(4), {promptTokens: 1_000})!;
     assert.equal(decision.helpers.length, 0);
--- a/packages/gateway/src/placement/engine_placement_policy.ts
+++ b/packages/gateway/src/placement/engine_placement_policy.ts
@@ -76,19 +76,19 @@
   }
 
   place(request: PlacementRequest): PlacementDecision | undefined {
-    const {service, metadata, candidates, nowMs} = request;
+    const {service, metadata, candidates, limited, nowMs} = request;
     const spec = service.engine;
     if (!spec || candidates.length === 0) return undefined;
     const costModels = candidates.map(
       backend => new EngineCostModel(backend, spec, nowMs),
     );
     const contextTokens = metadata.promptTokens + metadata.maxOutputTokens;
-    const shares = this.memoryShares(costModels, contextTokens, spec);
+    const shares = this.memoryShares(costModels, contextTokens, spec, limited);
     if (!shares) return undefined;
     const plan = this.findBestPlan(request, spec, costModels, shares);
     const decodeBackend =
       shares[0]?.backend ??
-      this.chooseDecodeEngine(plan, contextTokens).backend;
+      this.chooseDecodeEngine(plan, contextTokens, limited).backend;
     return this.createDecision(request, spec, plan, decodeBackend, shares);
   }
 
@@ -101,6 +101,7 @@
     costModels: readonly EngineCostModel[],
     contextTokens: number,
     spec: EngineSpec,
+    limited?: ReadonlySet<Backend>,
   ): MemoryShare[] | undefined {
     if (contextTokens <= spec.memoryTokens) return [];
     const count = Math.ceil(
@@ -108,11 +109,14 @@
     );
     if (count > costModels.length) return undefined;
     const shareTokens = Math.ceil(contextTokens / count);
+    const isLimited = (backend: Backend): number =>
+      Number(limited?.has(backend) ?? false);
     return costModels
       .slice()
       .sort((a, b) => a.contextTokens - b.contextTokens)
       .slice(0, count)
-      .map(({backend}) => ({backend, tokens: shareTokens}));
+      .map(({backend}) => ({backend, tokens: shareTokens}))
+      .sort((a, b) => isLimited(b.backend) - isLimited(a.backend));
   }
 
   private findBestPlan(
@@ -216,16 +220,20 @@
 
   /**
    * Chooses the engine of a plan that decodes with the lowest expected loss,
-   * among those with capacity for the context if there are any.
+   * among those with capacity for the context, and of these among those with a
+   * request limit, if there are any.
    */
   private chooseDecodeEngine(
     {engines}: PrefillPlan,
     contextTokens: number,
+    limited?: ReadonlySet<Backend>,
   ): EngineCostModel {
     const withCapacity = engines.filter(costModel =>
       costModel.hasCapacityFor(contextTokens),
     );
-    const eligible = withCapacity.length > 0 ? withCapacity : engines;
+    const capable = withCapacity.length > 0 ? withCapacity : engines;
+    const withLimit = capable.filter(({backend}) => limited?.has(backend));
+    const eligible = withLimit.length > 0 ? withLimit : capable;
     let best = eligible[0]!;
     let lowestLoss = Infinity;
     for (const costModel of eligible) {
--- a/packages/gateway/src/placement/placement_request.ts
+++ b/packages/gateway/src/placement/placement_request.ts
@@ -10,6 +10,11 @@
   readonly metadata: RequestMetadata;
   /** Eligible backend servers, without those that earlier attempts excluded. */
   readonly candidates: readonly Backend[];
+  /**
+   * Candidates with a request limit. The end of a limit is learnt from a response
+   * of the backend server itself, so one that helps should respond instead.
+   */
+  readonly limited?: ReadonlySet<Backend>;
   readonly nowMs: number;
   /** Time since the request arrived. */
   readonly waitedMs: number;
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -95,9 +95,14 @@
 
   /** Returns the engines of a decision that require a permit. */
   limitedEngines(decision: PlacementDecision): Backend[] {
+    return [...this.limitedOf(listEngines(decision))];
+  }
+
+  /** Returns those of the backend servers that have a request limit. */
+  limitedOf(backends: readonly Backend[]): ReadonlySet<Backend> {
     const {requestLimits} = this.options.components;
-    return listEngines(decision).filter(engine =>
-      requestLimits.isLimited(engine),
+    return new Set(
+      backends.filter(backend => requestLimits.isLimited(backend)),
     );
   }
 
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -234,6 +234,7 @@
       route,
       metadata,
       candidates,
+      limited: this.candidates.limitedOf(candidates),
       nowMs,
       waitedMs: nowMs - request.startedMs,
     });
