fix(gateway): a host that has started checks its services before requests that may run once

Cause: such a host learns from its first requests that it is cut off, and nothing protects those that follow before the probes of the first failure have ended.

Change: a connection to one server of each service, soon after the first is known, and to three if it fails, shows it. Requests that may run once wait for this unless a server has responded since the start.

--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -163,6 +163,7 @@
       end: async () => undefined,
     },
     factSync: {isSynced: true},
+    firstContact: {wait: () => Promise.resolve()},
     reach: new ServiceReach(),
     relayPeers: {choose: () => undefined},
     relayGate: {identify: () => undefined},
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -21,12 +21,18 @@
   /** Backend servers that have said that they leave; no candidates. */
   readonly departures = new DepartureTable();
   private readonly endedBus = new EventBus<Backend>();
+  private readonly discoveredBus = new EventBus<string>();
 
   /** Streams the backend servers whose incarnation has ended. */
   ended(): Stream<Backend> {
     return this.endedBus.stream();
   }
 
+  /** Streams each service whose first backend server has become known. */
+  discovered(): Stream<string> {
+    return this.discoveredBus.stream();
+  }
+
   /** Applies reports from a control host; the others hold without an invalid one. */
   apply(reports: readonly Presence[]): void {
     for (const report of reports) {
@@ -95,9 +101,10 @@
   private add(backend: Backend): void {
     const {id, service} = backend.presence;
     this.backends.set(id, backend);
-    const serviceBackends =
-      this.backendsByService.get(service) ?? new Set<Backend>();
+    const known = this.backendsByService.get(service);
+    const serviceBackends = known ?? new Set<Backend>();
     this.backendsByService.set(service, serviceBackends.add(backend));
+    if (!known) this.discoveredBus.emit(service);
   }
 
   private update(backend: Backend, report: Presence): void {
--- a/packages/gateway/src/reach/reach_prober.ts
+++ b/packages/gateway/src/reach/reach_prober.ts
@@ -26,6 +26,8 @@
   private readonly stopping = new AbortController();
   /** When each service was last verified. */
   private readonly verifiedMs = new Map<string, number>();
+  /** Verifications that have not ended. */
+  private readonly verifying = new Map<string, Promise<void>>();
 
   constructor(private readonly options: ReachProberOptions) {
     const {reach, backends} = options;
@@ -43,6 +45,32 @@
     this.stopping.abort();
   }
 
+  /** Whether a backend server of a service, chosen at random, is reached. */
+  async reachesOne(service: string): Promise<boolean> {
+    const [probed] = await this.probeSome(service, 1);
+    return probed?.isReached ?? false;
+  }
+
+  /**
+   * Verifies a service; it is lost if no probe succeeds. Waits for the end of a
+   * verification that has begun, and does nothing shortly after one.
+   */
+  async verify(service: string): Promise<void> {
+    const running = this.verifying.get(service);
+    if (running) return running;
+    const {reach} = this.options;
+    const verifiedMs = this.verifiedMs.get(service) ?? -Infinity;
+    const isRecent = monotonicMs() - verifiedMs < PROBE_INTERVAL_MS;
+    if (isRecent || reach.isLost(service) || this.stopping.signal.aborted)
+      return;
+    this.verifiedMs.set(service, monotonicMs());
+    const verification = this.recordFailures(service).finally(() =>
+      this.verifying.delete(service),
+    );
+    this.verifying.set(service, verification);
+    await verification;
+  }
+
   private async probe(service: string): Promise<void> {
     const {reach} = this.options;
     const {signal} = this.stopping;
@@ -58,14 +86,10 @@
     }
   }
 
-  /** Records the failures of probes, if all of them fail. */
-  private async verify(service: string): Promise<void> {
+  /** Probes a service, and records the failures if all probes fail. */
+  private async recordFailures(service: string): Promise<void> {
     const {reach, backends} = this.options;
     const {signal} = this.stopping;
-    const verifiedMs = this.verifiedMs.get(service) ?? -Infinity;
-    const isRecent = monotonicMs() - verifiedMs < PROBE_INTERVAL_MS;
-    if (isRecent || reach.isLost(service) || signal.aborted) return;
-    this.verifiedMs.set(service, monotonicMs());
     const probed = await this.probeSome(service, VERIFIED_BACKENDS);
     // One that accepts a connection may still reset it with a request.
     if (probed.some(({isReached}) => isReached) || signal.aborted) return;
--- a/packages/gateway/src/reach/service_reach.ts
+++ b/packages/gateway/src/reach/service_reach.ts
@@ -99,6 +99,11 @@
     this.changeBus.emit({service, isLost: false});
   }
 
+  /** Whether a backend server of the service has responded since the start. */
+  hasHadContact(service: string): boolean {
+    return this.contactMs.has(service);
+  }
+
   /** Whether the host seems to be cut off from the service. */
   isLost(service: string): boolean {
     return this.services.get(service)?.lostMs !== undefined;
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -11,6 +11,7 @@
 import type {QuarantineManager} from '../quarantine/quarantine_manager.js';
 import type {RelayGate} from '../relay/relay_gate.js';
 import type {RelayPeers} from '../relay/relay_peers.js';
+import type {FirstContact} from '../reach/first_contact.js';
 import type {ServiceReach} from '../reach/service_reach.js';
 import type {RequestLimitManager} from '../request_limits/request_limit_manager.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
@@ -33,6 +34,7 @@
   readonly requestLimits: RequestLimitManager;
   readonly backendSignals: BackendSignals;
   readonly reach: ServiceReach;
+  readonly firstContact: FirstContact;
   readonly relayPeers: RelayPeers;
   readonly relayGate: RelayGate;
   /** Id of this entry host. */
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {ErrorCodes, getLogger, monotonicMs, readBody} from '@vanillamux/shared';
 import {chooseTarget} from '../config/choose_target.js';
+import {isRetryable} from '../config/is_retryable.js';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {RouteTable} from '../config/route_table.js';
 import type {RequestMetadata} from '../dialect/request_metadata.js';
@@ -136,6 +137,7 @@
       return refuse({status: STATUS_UNAVAILABLE, reason, retryAfterMs});
     }
     const service = table.findService(chooseTarget(route, Math.random()))!;
+    if (!isRetryable(route)) await components.firstContact.wait(service.name);
     const relayRefusal =
       relay &&
       components.relayGate.refusal(relay, service.name, table.config.version);
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -28,6 +28,7 @@
 import {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import {PlacementPolicies} from '../placement/placement_policies.js';
 import {QuarantineManager} from '../quarantine/quarantine_manager.js';
+import {FirstContact} from '../reach/first_contact.js';
 import {PeerReach} from '../reach/peer_reach.js';
 import {ReachProber} from '../reach/reach_prober.js';
 import {ServiceReach} from '../reach/service_reach.js';
@@ -112,6 +113,7 @@
   private readonly factSync: FactSync;
   private readonly relayPeers: RelayPeers;
   private readonly prober: ReachProber;
+  private readonly firstContact: FirstContact;
   private readonly clientServer: ClientServer;
   /** Receives requests that other entry hosts relay. */
   private readonly relayServer: ClientServer;
@@ -183,6 +185,11 @@
       backends: this.backends,
       connections: this.connections,
     });
+    this.firstContact = new FirstContact({
+      reach: this.reach,
+      backends: this.backends,
+      prober: this.prober,
+    });
     this.factSync = new FactSync({
       notices: this.notices,
       sources: [
@@ -343,6 +350,7 @@
       requestLimits: this.requestLimits,
       backendSignals,
       reach: this.reach,
+      firstContact: this.firstContact,
       relayPeers: this.relayPeers,
       relayGate: new RelayGate({
         reach: this.reach,
