--- a/packages/control/src/control_client.ts
+++ b/packages/control/src/control_client.ts
@@ -17,8 +17,8 @@
 const ATTEMPT_TIMEOUT_MS = 700;
 const RETRY_DELAY_MS = 40;
 /**
- * Time for which a host that did not respond is not called while others are left:
- * the time without a leader after which members elect another one.
+ * Time for which a host that did not respond is not called while others are left;
+ * within the range of the election timeout (`RaftTiming`).
  */
 const AVOID_MS = 500;
 
--- a/packages/gateway/src/reach/first_contact.ts
+++ b/packages/gateway/src/reach/first_contact.ts
@@ -36,8 +36,9 @@
   }
 
   /**
-   * Waits until a response or probes have shown whether the service is reached,
-   * at most for two connect timeouts. Returns at once from then on.
+   * Waits until probes have shown whether the service is reached: as a rule for
+   * the time that one is held, at most for two probes one after the other.
+   * Returns at once from then on, and after a response of a backend server.
    */
   async wait(service: string): Promise<void> {
     const check = this.checks.get(service);
