test: restarts without a leader, and rotations of the log on a full disk (red)

The in-memory disk takes faults before and after each operation, and knows which names a power failure may undo.

--- a/packages/storage/src/disk.ts
+++ b/packages/storage/src/disk.ts
@@ -15,5 +15,8 @@
   abstract replace(name: string, content: Uint8Array): Promise<void>;
   /** Renames a file and makes the new name durable. */
   abstract rename(from: string, to: string): Promise<void>;
+  /** Removes a file if it exists; durable once the names are synced. */
   abstract remove(name: string): Promise<void>;
+  /** Makes every file created, renamed or removed so far durable in name. */
+  abstract syncNames(): Promise<void>;
 }
--- a/packages/storage/src/index.ts
+++ b/packages/storage/src/index.ts
@@ -5,6 +5,8 @@
 } from './record_codec.js';
 export {ChecksummedFile} from './checksummed_file.js';
 export {Disk} from './disk.js';
+export {DiskOperation} from './disk_operation.js';
+export {FaultPhase} from './fault_phase.js';
 export {LogFile} from './log_file.js';
 export {MemoryDisk} from './memory_disk.js';
 export {NodeDisk, type NodeDiskOptions} from './node_disk.js';
--- a/packages/storage/src/node_disk.ts
+++ b/packages/storage/src/node_disk.ts
@@ -62,7 +62,7 @@
 
   async open(name: string): Promise<LogFile> {
     const handle = await open(join(this.folder, name), 'a');
-    await this.syncFolder();
+    await this.syncNames();
     return new NodeLogFile(handle, this.syncDelayMs);
   }
 
@@ -80,14 +80,14 @@
 
   async rename(from: string, to: string): Promise<void> {
     await rename(join(this.folder, from), join(this.folder, to));
-    await this.syncFolder();
+    await this.syncNames();
   }
 
   async remove(name: string): Promise<void> {
     await rm(join(this.folder, name), {force: true});
   }
 
-  private syncFolder(): Promise<void> {
+  syncNames(): Promise<void> {
     return syncFolder(this.folder);
   }
 }
