--- a/packages/consensus/src/election_manager.ts
+++ b/packages/consensus/src/election_manager.ts
@@ -1,5 +1,6 @@
 import {randomInt} from 'node:crypto';
-import {monotonicMs, sleep} from '@vanillamux/shared';
+import {getLogger, monotonicMs, sleep} from '@vanillamux/shared';
+import type {Member} from './member.js';
 import type {VoteReply} from './messages.js';
 import {quorumOf} from './quorum_of.js';
 import {RaftRole} from './raft_role.js';
@@ -7,6 +8,8 @@
 import type {RaftTiming} from './raft_timing.js';
 import type {RaftTransport} from './raft_transport.js';
 
+const log = getLogger('consensus');
+
 /** Starts elections after an election timeout without leader contact. */
 export class ElectionManager {
   constructor(
@@ -91,19 +94,47 @@
     return new Promise(resolve => {
       let grantedVotes = 1;
       let endedCalls = 0;
+      const replies = new Map<string, VoteReply | undefined>();
       if (grantedVotes >= quorum) resolve(true);
-      const countReply = (reply?: VoteReply) => {
+      const countReply = (peer: Member, reply?: VoteReply) => {
         endedCalls++;
+        replies.set(peer.id, reply);
         if (reply && reply.term > state.term) state.enterTerm(reply.term);
         if (reply?.granted) grantedVotes++;
         if (grantedVotes >= quorum) resolve(true);
-        else if (endedCalls === peers.length) resolve(false);
+        else if (endedCalls === peers.length) {
+          this.reportFailure(term, preVote, replies);
+          resolve(false);
+        }
       };
       for (const peer of peers) {
         void this.transport
           .vote(peer, request, this.timing.callTimeoutMs)
-          .then(result => countReply(result.ok ? result.value : undefined));
+          .then(result =>
+            countReply(peer, result.ok ? result.value : undefined),
+          );
       }
     });
   }
+
+  /** Names the members that granted and refused the vote, or did not reply. */
+  private reportFailure(
+    term: number,
+    preVote: boolean,
+    replies: ReadonlyMap<string, VoteReply | undefined>,
+  ): void {
+    const namesOf = (verdict?: boolean): string =>
+      [...replies]
+        .filter(([, reply]) => reply?.granted === verdict)
+        .map(([id]) => id)
+        .join();
+    log.info('Too few votes for an election.', {
+      term,
+      preVote,
+      voters: replies.size + 1,
+      granted: namesOf(true),
+      refused: namesOf(false),
+      silent: namesOf(),
+    });
+  }
 }
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -52,11 +52,19 @@
   async rejoinWhenRemoved(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await sleep(LEADER_SILENCE_MS, signal);
-      const {role, leaderSilentMs, members} = this.host.node.status();
+      const {role, leaderSilentMs, members, term, commitIndex, lastIndex} =
+        this.host.node.status();
       for (const {address} of members) this.addAddress(address);
       if (role === RaftRole.Leader || leaderSilentMs < LEADER_SILENCE_MS)
         continue;
       if (signal.aborted) break;
+      log.warn('No leader is known; asking to be added again.', {
+        leaderSilentMs: Math.round(leaderSilentMs),
+        term,
+        commitIndex,
+        lastIndex,
+        members: members.map(({id, role}) => `${id} ${role}`).join(),
+      });
       const addresses = [...this.knownAddresses.values()];
       await Promise.all(addresses.map(address => this.askToJoin(address)));
     }
--- a/packages/gateway/src/server/readiness.ts
+++ b/packages/gateway/src/server/readiness.ts
@@ -1,4 +1,4 @@
-import {monotonicMs} from '@vanillamux/shared';
+import {getLogger, monotonicMs} from '@vanillamux/shared';
 import type {ConfigStore} from '../link/config_store.js';
 
 /**
@@ -7,11 +7,14 @@
  */
 const UNCONFIRMED_DELAY_MS = 5_000;
 
+const log = getLogger('gateway');
+
 /** Decides whether a host is ready to accept connections. */
 export class Readiness {
   private isConfirmed = false;
   private firstContactMs?: number;
   private isDraining = false;
+  private wasReady = false;
 
   constructor(private readonly config: ConfigStore) {}
 
@@ -38,6 +41,20 @@
 
   /** Whether the host is ready to accept connections. */
   get isReady(): boolean {
+    const isReady = this.evaluate();
+    if (isReady !== this.wasReady) {
+      log.info('Readiness changed.', {
+        isReady,
+        configVersion: this.config.version,
+        isConfirmed: this.isConfirmed,
+        isDraining: this.isDraining,
+      });
+    }
+    this.wasReady = isReady;
+    return isReady;
+  }
+
+  private evaluate(): boolean {
     if (this.isDraining || this.config.version < 0) return false;
     if (this.isConfirmed) return true;
     const contactMs = this.firstContactMs ?? Infinity;
