fix(storage): a replacement that fails on a full disk leaves no file behind

It is removed now, and the handle of a folder whose sync fails is closed. node_disk.test.ts failed before on the file left behind.

--- a/packages/storage/__tests__/node_disk.test.ts
+++ b/packages/storage/__tests__/node_disk.test.ts
@@ -49,6 +49,16 @@
     });
   }
 
+  it('leaves nothing of a replacement that fails on a full disk', async () => {
+    const opened = await NodeDisk.openFolder(root);
+    assert.ok(opened.ok);
+    onOpen = handle => {
+      handle.datasync = () => Promise.reject(new Error('full'));
+    };
+    await assert.rejects(opened.value.replace('file', Buffer.from('content')));
+    assert.deepEqual(await opened.value.list(), []);
+  });
+
   it('closes the file of a replacement that fails', async () => {
     const opened = await NodeDisk.openFolder(root);
     assert.ok(opened.ok);
--- a/packages/storage/src/node_disk.ts
+++ b/packages/storage/src/node_disk.ts
@@ -68,12 +68,12 @@
 
   async replace(name: string, content: Uint8Array): Promise<void> {
     const temporary = `${name}.tmp`;
-    const handle = await open(join(this.folder, temporary), 'w');
     try {
-      await handle.writeFile(content);
-      await handle.datasync();
-    } finally {
-      await handle.close();
+      await this.writeDurably(temporary, content);
+    } catch (error) {
+      // The bytes of a failed write would go on filling the disk.
+      await this.remove(temporary).catch(() => undefined);
+      throw error;
     }
     await this.rename(temporary, name);
   }
@@ -90,6 +90,16 @@
   syncNames(): Promise<void> {
     return syncFolder(this.folder);
   }
+
+  private async writeDurably(name: string, content: Uint8Array): Promise<void> {
+    const handle = await open(join(this.folder, name), 'w');
+    try {
+      await handle.writeFile(content);
+      await handle.datasync();
+    } finally {
+      await handle.close();
+    }
+  }
 }
 
 /**
@@ -109,6 +119,9 @@
 
 async function syncFolder(folder: string): Promise<void> {
   const handle = await open(folder, 'r');
-  await handle.sync();
-  await handle.close();
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
 }
