fix(consensus): members know after a restart what was committed, without a leader

So whatever keeps a leader from being elected takes all service with it, though the rule exists that an entry host serves with the last known configuration after 5 s without a leader. What is not committed never comes into force, and reads are still confirmed by a quorum. A host is current only once it has applied an entry of its leader's term: before, each control host claimed it for the first second after its start.

--- a/packages/consensus/src/group_status.ts
+++ b/packages/consensus/src/group_status.ts
@@ -27,6 +27,11 @@
   readonly baseIndex: number;
   /** Milliseconds since the last contact with a leader; 0 with a lease. */
   readonly leaderSilentMs: number;
+  /**
+   * Whether the member knows a leader and has applied an entry of its term, and
+   * so everything that was committed before.
+   */
+  readonly isCurrent: boolean;
   /** Records, syncs and bytes written to the log since it was opened. */
   readonly log: Readonly<WalStats>;
   readonly members: readonly MemberStatus[];
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -11,6 +11,7 @@
 } from '@vanillamux/shared';
 import {isTransientDiskError} from '@vanillamux/storage';
 import type {Stream} from 'most';
+import {CommitSaver} from './commit_saver.js';
 import {ElectionManager} from './election_manager.js';
 import {EntryKind} from './entry_kind.js';
 import {Follower} from './follower.js';
@@ -75,6 +76,7 @@
   private readonly roleBus = new EventBus<RaftRole>();
   private readonly appliedBus = new EventBus<number>();
   private readonly abortController = new AbortController();
+  private readonly commitSaver: CommitSaver;
   private leader?: Leader;
   private appliedIndex: number;
   /** Compaction or installation of a snapshot; one runs at a time. */
@@ -90,6 +92,9 @@
     );
     this.appliedIndex = recovered.log.baseIndex;
     if (snapshot) stateMachine.restore(snapshot.state);
+    this.state.commitIndex = recovered.commitIndex;
+    this.commitSaver = new CommitSaver(this.state, this.abortController.signal);
+    this.applyCommitted();
     this.voteHandler = new VoteHandler(this.state, this.timing);
     this.electionManager = new ElectionManager(
       this.state,
@@ -231,6 +236,7 @@
       lastIndex: state.log.lastIndex,
       baseIndex: state.log.baseIndex,
       leaderSilentMs,
+      isCurrent: this.isCurrent,
       log: {...state.storage.stats},
       membersIndex: state.log.membership().index,
       members: state.members.map(member => ({
@@ -246,6 +252,16 @@
     };
   }
 
+  /**
+   * Whether this member knows a leader and has applied an entry of its term, and
+   * so all that was committed before that leader was elected.
+   */
+  private get isCurrent(): boolean {
+    const {state} = this;
+    if (state.leaderId === undefined) return false;
+    return state.log.termAt(this.appliedIndex) === state.term;
+  }
+
   private canChangeMembers(members: readonly Member[]): boolean {
     const {state, leader} = this;
     const membership = state.log.membership();
@@ -327,6 +343,7 @@
       this.pendingProposals.complete(entry.index, entry.term, result);
       this.appliedBus.emit(entry.index);
     }
+    this.commitSaver.notify();
     this.compactIfNeeded();
   }
 
--- a/packages/consensus/src/raft_storage.ts
+++ b/packages/consensus/src/raft_storage.ts
@@ -1,10 +1,12 @@
-import {succeed, type Result} from '@vanillamux/shared';
+import {getLogger, succeed, type Result} from '@vanillamux/shared';
 import {ChecksummedFile, Wal, type Disk} from '@vanillamux/storage';
 import type {LogEntry} from './log_entry.js';
+import type {LogPosition} from './log_position.js';
 import {RaftLog} from './raft_log.js';
 import type {Snapshot} from './snapshot.js';
 
 const SNAPSHOT_FILE = 'snapshot.json';
+const COMMITTED_FILE = 'committed.json';
 
 /** Term and vote of a member, which must survive a restart. */
 export interface Ballot {
@@ -20,6 +22,11 @@
   readonly ballot: Ballot;
   readonly log: RaftLog;
   readonly snapshot?: Snapshot;
+  /**
+   * Index up to which the log was known to be committed; the base of the log if
+   * nothing later was stored.
+   */
+  readonly commitIndex: number;
 }
 
 /** Stores the ballot, log and snapshot of one member on its disk. */
@@ -27,6 +34,7 @@
   private constructor(
     private readonly wal: Wal,
     private readonly snapshotFile: ChecksummedFile,
+    private readonly committedFile: ChecksummedFile,
   ) {}
 
   /** Opens the files on `disk` and recovers the durable state. */
@@ -47,8 +55,14 @@
       else if (record.entry.index > log.baseIndex)
         log.truncateAndAppend(record.entry);
     }
-    const storage = new RaftStorage(opened.value.wal, snapshotFile);
-    return succeed({storage, ballot, log, snapshot});
+    const committedFile = new ChecksummedFile(disk, COMMITTED_FILE);
+    const commitIndex = await readCommitIndex(committedFile, log);
+    const storage = new RaftStorage(
+      opened.value.wal,
+      snapshotFile,
+      committedFile,
+    );
+    return succeed({storage, ballot, log, snapshot, commitIndex});
   }
 
   /** Counters of the write-ahead log. */
@@ -79,6 +93,11 @@
     await this.snapshotFile.write(JSON.stringify(snapshot));
   }
 
+  /** Replaces the stored position up to which the log is committed. */
+  async saveCommitted(position: LogPosition): Promise<void> {
+    await this.committedFile.write(JSON.stringify(position));
+  }
+
   /** Rewrites the log without the entries that a snapshot covers. */
   async compactLog(log: RaftLog, getBallot: () => Ballot): Promise<void> {
     // The payloads are read when the rotation runs, so that entries appended
@@ -94,6 +113,25 @@
   }
 }
 
+/**
+ * Reads the stored commit index. A position that the log does not have, or that
+ * cannot be read, is ignored: a leader will tell.
+ */
+async function readCommitIndex(
+  file: ChecksummedFile,
+  log: RaftLog,
+): Promise<number> {
+  const text = await file.read();
+  if (!text.ok) {
+    const reason = text.error.message;
+    getLogger('consensus').warn('Ignored the stored commit index.', {reason});
+    return log.baseIndex;
+  }
+  if (text.value === undefined) return log.baseIndex;
+  const {index, term} = JSON.parse(text.value) as LogPosition;
+  return log.termAt(index) === term ? index : log.baseIndex;
+}
+
 function encodeRecord(record: StoredRecord): Buffer {
   return Buffer.from(JSON.stringify(record));
 }
--- a/packages/control/__tests__/membership_policy.test.ts
+++ b/packages/control/__tests__/membership_policy.test.ts
@@ -45,6 +45,7 @@
     lastIndex: LAST_INDEX,
     baseIndex: 0,
     leaderSilentMs: 0,
+    isCurrent: true,
     log: {records: 0, syncs: 0, bytes: 0},
     membersIndex: 1,
     members,
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -51,13 +51,16 @@
       ]);
       timer.abort();
     }
+    const status = this.host.node.status();
     return {
       ...this.registry.changesSince(request.registryId, request.position),
       version: this.host.stateMachine.published.version,
-      isCurrent: this.host.node.status().leaderSilentMs < MAX_LEADER_SILENCE_MS,
-      control: this.host.node
-        .status()
-        .members.map(({address, failureDomain}) => ({address, failureDomain})),
+      isCurrent:
+        status.isCurrent && status.leaderSilentMs < MAX_LEADER_SILENCE_MS,
+      control: status.members.map(({address, failureDomain}) => ({
+        address,
+        failureDomain,
+      })),
       ...this.peersUpdate(request.peersVersion),
     };
   }
