fix(gateway): a host refuses at once when no configuration comes after its start

Cause: the wait for the first configuration, meant for the second in which a leader is elected after a restart, was counted from each request. Change: it is counted from the start of the host. Result: restart_without_quorum.test.ts, the refusal took 3 s, now it is sent at once.

--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -28,8 +28,9 @@
 /** Retry-After of a host that stops; its connection is closed. */
 const STOPPING_RETRY_AFTER_MS = 50;
 /**
- * Longest wait for the first configuration. After a restart of all hosts, the
- * control group needs about a second to elect a leader.
+ * Time after the start within which requests wait for the first configuration.
+ * After a restart of all hosts, the control group needs about a second to elect
+ * a leader.
  */
 const CONFIG_WAIT_MS = 3_000;
 
@@ -40,6 +41,7 @@
 
 /** Matches, authenticates and reads a request, and then runs it. */
 export class RequestHandler {
+  private readonly startedMs = monotonicMs();
   private inFlightCount = 0;
   private readonly runningRequests = new Set<AbortController>();
 
@@ -110,8 +112,9 @@
     const metadata = components.dialect.readRequest(req.headers);
     const refuse = (response: ErrorResponse): void =>
       this.refuse(res, metadata, response, relay);
+    const startWaitMs = this.startedMs + CONFIG_WAIT_MS - startedMs;
     const table = await components.configStore.waitForFirst(
-      Math.min(CONFIG_WAIT_MS, (metadata.timeoutMs ?? Infinity) / 2),
+      Math.max(0, Math.min(startWaitMs, (metadata.timeoutMs ?? Infinity) / 2)),
     );
     if (!table) {
       const reason = 'no configuration is known yet; come back soon';
