fix(consensus): a follower whose write may have lost entries ends its process

Callers: none yet; the next loss of a control host would have stopped all changes. Cause: a leader ends its process after such a write, so that it starts again on what the disk has. Transient errors are retried as before. Result: follower_storage_failure.test.ts: the process ran on, now it exits.

--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -144,15 +144,15 @@
   }
 
   handleVote(request: VoteRequest): Promise<VoteReply> {
-    return this.voteHandler.handle(request);
+    return this.endOnStorageFailure(this.voteHandler.handle(request));
   }
 
   handleAppend(request: AppendRequest): Promise<AppendReply> {
-    return this.follower.handleAppend(request);
+    return this.endOnStorageFailure(this.follower.handleAppend(request));
   }
 
   handleSnapshot(request: SnapshotRequest): Promise<SnapshotReply> {
-    return this.follower.handleSnapshot(request);
+    return this.endOnStorageFailure(this.follower.handleSnapshot(request));
   }
 
   /**
@@ -396,6 +396,18 @@
     throw error;
   }
 
+  /**
+   * Passes on the result of a request, and terminates the process if a write
+   * may have lost entries: the member would acknowledge nothing more, and the
+   * group would be one loss from having no quorum.
+   */
+  private endOnStorageFailure<T>(operation: Promise<T>): Promise<T> {
+    operation.catch((error: unknown) => {
+      if (!isTransientDiskError(error)) this.onStorageFailure(error);
+    });
+    return operation;
+  }
+
   private takeSnapshot(): Snapshot {
     const {log: raftLog} = this.state;
     const index = this.appliedIndex;
--- a/packages/storage/src/wal.ts
+++ b/packages/storage/src/wal.ts
@@ -1,17 +1,17 @@
-import { setImmediate as nextTurn } from "node:timers/promises";
-import { getLogger, sleep, succeed, type Result } from "@vanillamux/shared";
-import type { Disk } from "./disk.js";
-import type { LogFile } from "./log_file.js";
-import { isTransientDiskError } from "./is_transient_disk_error.js";
-import { encodeRecord } from "./record_codec.js";
-import { scanRecords } from "./scan_records.js";
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {getLogger, sleep, succeed, type Result} from '@vanillamux/shared';
+import type {Disk} from './disk.js';
+import type {LogFile} from './log_file.js';
+import {isTransientDiskError} from './is_transient_disk_error.js';
+import {encodeRecord} from './record_codec.js';
+import {scanRecords} from './scan_records.js';
 
 const SEGMENT_PATTERN = /^segment-(\d{10})\.wal$/;
 const SEGMENT_DIGITS = 10;
 /** Delay before a write is retried after a transient disk error. */
 const WRITE_RETRY_DELAY_MS = 100;
 
-const log = getLogger("storage");
+const log = getLogger('storage');
 
 /** Counters of a write-ahead log since it was opened. */
 export interface WalStats {
@@ -31,7 +31,7 @@
  * made durable together by the next one.
  */
 export class Wal {
-  readonly stats: WalStats = { records: 0, syncs: 0, bytes: 0 };
+  readonly stats: WalStats = {records: 0, syncs: 0, bytes: 0};
   private pendingPayloads: Uint8Array[] = [];
   private pendingFlush?: Promise<void>;
   private lastOperation: Promise<void> = Promise.resolve();
@@ -54,7 +54,7 @@
     const bytes = (await disk.read(name)) ?? Buffer.alloc(0);
     const scanned = scanRecords(bytes, name);
     if (!scanned.ok) return scanned;
-    const { payloads, intactBytes } = scanned.value;
+    const {payloads, intactBytes} = scanned.value;
     const file = await disk.open(name);
     if (intactBytes < bytes.length) await file.truncate(intactBytes);
     await file.sync();
@@ -62,7 +62,7 @@
       await disk.remove(segmentName(oldSegment));
     }
     const wal = new Wal(disk, file, segment, intactBytes);
-    return succeed({ wal, payloads });
+    return succeed({wal, payloads});
   }
 
   /** Durable length of the current segment in bytes. */
@@ -119,7 +119,7 @@
     const payloads = this.pendingPayloads;
     this.pendingPayloads = [];
     const bytes = Buffer.concat(
-      payloads.map((payload) => encodeRecord(payload, this.syncedBytes)),
+      payloads.map(payload => encodeRecord(payload, this.syncedBytes)),
     );
     await this.writeAndSync(bytes);
     this.syncedBytes += bytes.length;
@@ -130,7 +130,7 @@
 
   /** Appends and syncs bytes; retries transient disk errors without limit. */
   private async writeAndSync(bytes: Uint8Array): Promise<void> {
-    await retryTransientErrors(async (hasFailed) => {
+    await retryTransientErrors(async hasFailed => {
       // The remains of a failed write would look like corruption later.
       if (hasFailed) await this.file.truncate(this.syncedBytes);
       await this.file.append(bytes);
@@ -141,10 +141,10 @@
   private async startSegment(payloads: Uint8Array[]): Promise<void> {
     const nextSegment = this.segment + 1;
     const bytes = Buffer.concat(
-      payloads.map((payload) => encodeRecord(payload, 0)),
+      payloads.map(payload => encodeRecord(payload, 0)),
     );
     const nextFile = await this.createSegment(segmentName(nextSegment), bytes);
-    const previous = { file: this.file, name: segmentName(this.segment) };
+    const previous = {file: this.file, name: segmentName(this.segment)};
     this.file = nextFile;
     this.segment = nextSegment;
     this.syncedBytes = bytes.length;
@@ -179,7 +179,7 @@
     } catch (error) {
       if (!isTransientDiskError(error)) throw error;
       const reason = (error as Error).message;
-      log.warn("Could not remove an old log segment.", { name, reason });
+      log.warn('Could not remove an old log segment.', {name, reason});
     }
   }
 }
@@ -195,12 +195,12 @@
   for (;;) {
     try {
       await operation(hasFailed);
-      if (hasFailed) log.info("Disk writes succeed again.");
+      if (hasFailed) log.info('Disk writes succeed again.');
       return;
     } catch (error) {
       if (!isTransientDiskError(error)) throw error;
       const reason = (error as Error).message;
-      if (!hasFailed) log.warn("A disk write failed; retrying.", { reason });
+      if (!hasFailed) log.warn('A disk write failed; retrying.', {reason});
       hasFailed = true;
       await sleep(WRITE_RETRY_DELAY_MS);
     }
@@ -210,12 +210,12 @@
 async function listSegments(disk: Disk): Promise<number[]> {
   const names = await disk.list();
   return names
-    .map((name) => SEGMENT_PATTERN.exec(name)?.[1])
-    .filter((digits) => digits !== undefined)
+    .map(name => SEGMENT_PATTERN.exec(name)?.[1])
+    .filter(digits => digits !== undefined)
     .map(Number)
     .sort((a, b) => a - b);
 }
 
 function segmentName(segment: number): string {
-  return `segment-${String(segment).padStart(SEGMENT_DIGITS, "0")}.wal`;
+  return `segment-${String(segment).padStart(SEGMENT_DIGITS, '0')}.wal`;
 }
