fix(control): a host that could not store its initial members belongs to no group

Callers: changes refused or unanswered for good, while all processes run. A host whose disk was full in the moment in which its group was formed took itself for a member without knowing any: it told others that it had a group, asked nobody to join and took part in nothing. Only now does it belong to one: once the members are stored. formation_on_full_disk.test.ts: 'formed' before, 'empty' now, and formed at the next attempt.

--- a/packages/control/src/control_host.ts
+++ b/packages/control/src/control_host.ts
@@ -36,7 +36,8 @@
   readonly stateMachine = new ControlState();
   readonly timeline: Timeline;
   readonly node: RaftNode;
-  private hasAcceptedMembers: boolean;
+  /** Pending write of the initial members. */
+  private formation?: Promise<void>;
 
   private constructor(
     readonly settings: ControlSettings,
@@ -55,7 +56,6 @@
       stateMachine: this.stateMachine,
       snapshotEntries: settings.snapshotEntries,
     });
-    this.hasAcceptedMembers = recovered.log.membership().members.length > 0;
     this.recordEvents();
   }
 
@@ -100,7 +100,7 @@
 
   /** Whether this host knows its group, from formation or from a leader. */
   get hasGroup(): boolean {
-    return this.hasAcceptedMembers || this.node.status().members.length > 0;
+    return this.node.status().members.length > 0;
   }
 
   /** Describes this host to those that form or join a group. */
@@ -154,11 +154,10 @@
       members.some(({id}) => id === this.self.id),
       'a host forms only groups that it belongs to',
     );
-    this.hasAcceptedMembers = true;
-    const initialSnapshot: Snapshot = {index: 0, term: 0, members, state: ''};
-    await this.recovered.storage.saveSnapshot(initialSnapshot);
-    this.recovered.log.compact(initialSnapshot);
-    log.info('Formed the group.', {members: members.length});
+    this.formation ??= this.storeInitialMembers(members).finally(() => {
+      this.formation = undefined;
+    });
+    await this.formation;
   }
 
   /** Stops the Raft node and closes the files. */
@@ -167,6 +166,13 @@
     await this.record.close();
   }
 
+  private async storeInitialMembers(members: readonly Member[]): Promise<void> {
+    const initialSnapshot: Snapshot = {index: 0, term: 0, members, state: ''};
+    await this.recovered.storage.saveSnapshot(initialSnapshot);
+    this.recovered.log.compact(initialSnapshot);
+    log.info('Formed the group.', {members: members.length});
+  }
+
   private recordEvents(): void {
     void this.node.roles().observe(role => {
       const {term} = this.node.status();
