--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -1,9 +1,9 @@
 // A control host is suspended for 4 s, so that the workers check in at another
 // one. A minute later it says that they are gone.
+import process from 'node:process';
 import {
   BOUNDS,
   createConfig,
-  hasTrouble,
   play,
   record,
   request,
@@ -12,6 +12,9 @@
   Worker,
 } from '../harness.mjs';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const SERVICE = {name: 'claims', kind: 'non_idempotent'};
 const PATH = '/claims/submit';
 const TENANTS = [{name: 't1', api_keys: ['key-1'], priority_level: 1}];
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,16 +1,19 @@
 // A control host is replaced by an empty one at another address, in the planned
 // way: the new one first. Right after that, another control host loses its disk.
+import process from 'node:process';
 import {
   BOUNDS,
   call,
   createConfig,
   describe,
-  hasTrouble,
   play,
   record,
   sleep,
 } from '../harness.mjs';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const SERVICE = {name: 'claims', kind: 'non_idempotent'};
 const TENANTS = [{name: 't1', api_keys: ['key-1'], priority_level: 1}];
 const NEWEST = 2;
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,11 +1,11 @@
 // An entry host is stopped by SIGTERM while requesters hold channels on which
 // they have not sent a request yet. A request that it reads and passes on to a
 // worker must be answered.
+import process from 'node:process';
 import net from 'node:net';
 import {
   BOUNDS,
   createConfig,
-  hasTrouble,
   play,
   record,
   sleep,
@@ -13,6 +13,9 @@
   Worker,
 } from '../harness.mjs';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const SERVICE = {name: 'claims', kind: 'non_idempotent'};
 const PATH = '/claims/submit';
 const TENANTS = [{name: 't1', api_keys: ['key-1'], priority_level: 1}];
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,9 +1,9 @@
 // An entry host is killed while it forwards a stream whose worker gave no
 // length. The requester must be able to tell that the stream is not complete.
+import process from 'node:process';
 import http from 'node:http';
 import {
   createConfig,
-  hasTrouble,
   play,
   record,
   sleep,
@@ -11,6 +11,9 @@
   Worker,
 } from '../harness.mjs';
 
+/** Whether the disruption is played. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const NOTES = {name: 'notes', kind: 'streaming'};
 const CLAIMS = {name: 'claims', kind: 'non_idempotent'};
 const TENANTS = [{name: 't1', api_keys: ['key-1'], priority_level: 1}];
--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -60,9 +60,6 @@
   max_idle_ms: 9_000,
 };
 
-/** Whether the disruption is played. */
-export const hasTrouble = process.env.TROUBLE !== '0';
-
 export const sleep = ms => sleepMs(ms);
 
 /** Fills in a template as DEPLOY.md describes it, as far as ours use it. */
@@ -492,7 +489,7 @@
     return call({
       node: this.paths?.get(node).node ?? node,
       method: 'POST',
-      path: `/-/workers/${this.id}/${verb}`,
+      path: ['', '-', 'workers', this.id, verb].join('/'),
       body: JSON.stringify({...fields, born: this.born}),
       timeoutMs: CHECK_IN_TIMEOUT_MS,
     });
@@ -652,7 +649,7 @@
   recordFile = join(dirname(fileURLToPath(folder)), 'record.txt');
   startMs = Date.now();
   writeFileSync(recordFile, '');
-  record(`trouble: ${hasTrouble}`);
+  record(`TROUBLE: ${process.env.TROUBLE ?? 'not set'}`);
   const deployment = new Deployment();
   let code = 2;
   const giveUp = reason => {
