--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -46,7 +46,7 @@
 }
 
 await play(import.meta.url, async deployment => {
-  await deployment.start({controls: 3, gateways: 1});
+  await deployment.start({controls: 3, gateways: 2});
   const [gateway] = deployment.gateways;
   await deployment.waitForControl();
   for (let index = 1; index <= 2; index++) {
