fix(gateway): silence at one control host no longer ends a backend server

All backend servers were up and sent heartbeats.

Cause: a control host that had heard nothing of a server for 50 heartbeats sent `Gone`, which beats every report of that incarnation, whatever its sequence. The server only reported to another control host, which does not repeat what has not changed.

Now a control host never makes an end of silence, and an entry host keeps what each control host says: a server is silent once none hears it, and given up a minute later; a later report brings it back. `Gone` carries `isConfirmed` when it is a fact.

Same cause elsewhere: a late heartbeat at the former control host hid the server as silent; a server that ended with its control host stayed known for ever; the tables of a registry never shrank.

--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -1,5 +1,5 @@
 import {randomUUID} from 'node:crypto';
-import {PresenceTable} from '@vanillamux/membership';
+import {endIncarnation, PresenceTable} from '@vanillamux/membership';
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {
   Deferred,
@@ -10,8 +10,11 @@
 
 /** Missed heartbeats above which a backend server is marked as silent. */
 const SILENT_AFTER_HEARTBEATS = 4;
-/** Missed heartbeats above which a backend server is marked as gone. */
-const GONE_AFTER_HEARTBEATS = 50;
+/**
+ * Missed heartbeats above which a backend server is forgotten. Entry hosts give
+ * it up by themselves: it may report to another control host.
+ */
+const FORGET_AFTER_HEARTBEATS = 100;
 /** Silence in heartbeats after which an unchanged report counts as a change. */
 const REFRESH_AFTER_HEARTBEATS = 2;
 
@@ -82,12 +85,14 @@
   deregister(id: string, incarnation?: number): void {
     const known = this.presenceTable.get(id);
     if (!known || (incarnation ?? Infinity) < known.incarnation) return;
-    this.appendChanges(
-      this.presenceTable.apply({...known, state: PresenceState.Gone}),
-    );
+    this.appendChanges(this.presenceTable.apply(endIncarnation(known)));
   }
 
-  /** Marks backend servers that have missed heartbeats as silent or gone. */
+  /**
+   * Marks backend servers that have missed heartbeats as silent, and forgets
+   * those that have missed many. Silence is no end: a backend server reports to
+   * another control host after a call that failed here.
+   */
   expire(): void {
     const {heartbeatMs} = this.options;
     for (const presence of this.presenceTable.list()) {
@@ -95,16 +100,24 @@
       const lastReceivedMs =
         this.lastReceivedMsById.get(presence.id) ?? this.now();
       const missedHeartbeats = (this.now() - lastReceivedMs) / heartbeatMs;
-      if (missedHeartbeats > GONE_AFTER_HEARTBEATS) {
-        this.appendChanges(
-          this.presenceTable.apply({...presence, state: PresenceState.Gone}),
-        );
+      if (missedHeartbeats > FORGET_AFTER_HEARTBEATS) {
+        this.presenceTable.delete(presence.id);
+        log.info('Forgot a silent backend server.', {
+          backend: presence.id,
+          incarnation: presence.incarnation,
+          sequence: presence.sequence,
+        });
       } else if (missedHeartbeats > SILENT_AFTER_HEARTBEATS) {
         const silent = {...presence, state: PresenceState.Silent};
         this.appendChanges(this.presenceTable.apply(silent));
       }
     }
     this.presenceTable.deleteExpired();
+    for (const id of this.positionById.keys()) {
+      if (this.presenceTable.get(id)) continue;
+      this.positionById.delete(id);
+      this.lastReceivedMsById.delete(id);
+    }
   }
 
   /**
--- a/packages/gateway/__tests__/create_backend.ts
+++ b/packages/gateway/__tests__/create_backend.ts
@@ -1,5 +1,6 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {Backend} from '../src/fleet/backend.js';
+import type {ReportBatch} from '../src/fleet/backend_pool.js';
 import type {WorkItem} from '../src/fleet/work_item.js';
 
 /** Report of a ready backend server; by default its host name is its id. */
@@ -17,6 +18,11 @@
   };
 }
 
+/** Reports of one control host that has not restarted. */
+export function reported(...reports: readonly Presence[]): ReportBatch {
+  return {from: 'control-1', registryId: 'registry-1', reports};
+}
+
 /** Ready backend servers `b0`, `b1`, … in one failure domain. */
 export function createBackends(count: number): Backend[] {
   return Array.from(
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -4,17 +4,37 @@
   presenceSchema,
   type Presence,
 } from '@vanillamux/protocol';
-import {EventBus, getLogger} from '@vanillamux/shared';
+import {EventBus, getLogger, monotonicMs} from '@vanillamux/shared';
 import type {Stream} from 'most';
 import {DepartureTable} from '../departures/departure_table.js';
 import {Backend} from './backend.js';
+import {BackendLiveness} from './backend_liveness.js';
 import {DomainReachability} from './domain_reachability.js';
+import {ObservationTable} from './observation_table.js';
+
+/** Shortest time between two checks of all backend servers. */
+const CHECK_INTERVAL_MS = 1_000;
 
 const log = getLogger('backends');
 
-/** Backend servers that this host may send requests to. */
+/** Reports of one control host. */
+export interface ReportBatch {
+  /** Address of the control host. */
+  readonly from: string;
+  /** Changes when the control host starts anew. */
+  readonly registryId: string;
+  readonly reports: readonly Presence[];
+}
+
+/**
+ * Backend servers that this host may send requests to. What a backend server
+ * says of itself holds by its incarnation and sequence; that a control host no
+ * longer hears it holds only while no other one does.
+ */
 export class BackendPool {
-  private readonly table = new PresenceTable();
+  /** What backend servers said of themselves, and which have ended. */
+  private readonly table: PresenceTable;
+  private readonly observations = new ObservationTable();
   private readonly backends = new Map<string, Backend>();
   private readonly backendsByService = new Map<string, Set<Backend>>();
   readonly reachability = new DomainReachability();
@@ -22,6 +42,11 @@
   readonly departures = new DepartureTable();
   private readonly endedBus = new EventBus<Backend>();
   private readonly discoveredBus = new EventBus<string>();
+  private checkedMs = -Infinity;
+
+  constructor(private readonly now: () => number = monotonicMs) {
+    this.table = new PresenceTable(now);
+  }
 
   /** Streams the backend servers whose incarnation has ended. */
   ended(): Stream<Backend> {
@@ -34,19 +59,28 @@
   }
 
   /** Applies reports from a control host; the others hold without an invalid one. */
-  apply(reports: readonly Presence[]): void {
+  apply({from, registryId, reports}: ReportBatch): void {
+    this.observations.recordContact(from, registryId, this.now());
     for (const report of reports) {
       const {success, error} = presenceSchema.safeParse(report);
-      if (!success) {
-        log.warn('Ignored the invalid report of a backend server.', {
-          backend: report.id,
-          reason: error.message,
-        });
+      if (success) {
+        this.applyReport(report, from);
         continue;
       }
-      for (const change of this.table.apply(report)) this.applyChange(change);
+      log.warn('Ignored the invalid report of a backend server.', {
+        backend: report.id,
+        reason: error.message,
+      });
     }
     this.table.deleteExpired();
+    if (this.now() - this.checkedMs < CHECK_INTERVAL_MS) return;
+    this.checkedMs = this.now();
+    for (const {presence} of this.list()) this.updateLiveness(presence.id);
+  }
+
+  /** Drops what a control host said that has left the group. */
+  removeControlHost(host: string): void {
+    this.observations.removeObserver(host);
   }
 
   /**
@@ -78,6 +112,58 @@
     return [...this.backends.values()];
   }
 
+  private applyReport(report: Presence, from: string): void {
+    const {id, incarnation, state} = report;
+    const isEnd = this.isEnd(report, from);
+    const isHeard =
+      state === PresenceState.Ready || state === PresenceState.Draining;
+    if (!isEnd) this.observations.record(report, from, isHeard);
+    if (isEnd || state !== PresenceState.Gone) this.applyOwnState(report);
+    this.updateLiveness(id);
+    // Late reports of ended incarnations, for example.
+    if (this.backends.get(id)?.presence.incarnation !== incarnation)
+      this.observations.remove(report);
+  }
+
+  /**
+   * Whether a report says that an incarnation has ended. A control host of an
+   * earlier version sends `Gone` for that and, after it was silent for a minute,
+   * for one that it doesn't hear.
+   */
+  private isEnd(report: Presence, from: string): boolean {
+    if (report.state !== PresenceState.Gone) return false;
+    return (
+      report.isConfirmed === true || this.observations.isHeardBy(report, from)
+    );
+  }
+
+  /** Applies what a backend server said of itself, or that it has ended. */
+  private applyOwnState(report: Presence): void {
+    // A silent one was ready when it was heard; a draining one is not reported
+    // as silent.
+    const own =
+      report.state === PresenceState.Silent
+        ? {...report, state: PresenceState.Ready}
+        : report;
+    for (const change of this.table.apply(own)) {
+      const liveness = this.observations.judge(change, this.now());
+      this.applyChange(withLiveness(change, liveness));
+    }
+  }
+
+  /** Applies what all control hosts together know of a backend server. */
+  private updateLiveness(id: string): void {
+    const current = this.backends.get(id);
+    const own = this.table.get(id);
+    if (!current || !own) return;
+    const liveness = this.observations.judge(own, this.now());
+    const report = withLiveness(own, liveness);
+    if (report.state === current.presence.state) return;
+    // Not an end: another report of this incarnation brings it back.
+    if (report.state === PresenceState.Gone) this.table.delete(id);
+    this.applyChange(report);
+  }
+
   private applyChange(report: Presence): void {
     const current = this.backends.get(report.id);
     const isSameIncarnation =
@@ -86,6 +172,7 @@
       backend: report.id,
       state: report.state,
       before: isSameIncarnation ? current?.presence.state : undefined,
+      heardBy: this.observations.hosts(report.id).join(),
       incarnation: report.incarnation,
       sequence: report.sequence,
     });
@@ -118,6 +205,15 @@
     this.backends.delete(id);
     this.backendsByService.get(service)?.delete(backend);
     this.departures.remove(backend.presence);
+    this.observations.remove(backend.presence);
     this.endedBus.emit(backend);
   }
 }
+
+function withLiveness(own: Presence, liveness: BackendLiveness): Presence {
+  if (liveness === BackendLiveness.Gone)
+    return {...own, state: PresenceState.Gone};
+  const isSilent =
+    liveness === BackendLiveness.Silent && own.state === PresenceState.Ready;
+  return isSilent ? {...own, state: PresenceState.Silent} : own;
+}
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -99,15 +99,16 @@
 
   private async applyUpdate(update: FeedUpdate): Promise<void> {
     const {listener} = this.options;
-    this.registryId = update.registryId;
+    const from = formatAddress(this.options.address);
+    const {registryId, reports} = update;
+    this.registryId = registryId;
     this.position = update.position;
     this.peersVersion = update.peersVersion;
-    listener.onReports(update.reports);
+    listener.onReports({from, registryId, reports});
     if (update.version > listener.version) await this.fetchDocument();
     // Without this delay, a document that fails to decode would be fetched in
     // a tight loop.
     if (update.version > listener.version) await this.waitToRetry();
-    const from = formatAddress(this.options.address);
     listener.onContact({...update, from});
     if (update.isCurrent) this.options.onMembers(update.control);
   }
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -87,6 +87,7 @@
       });
       link.close();
       this.links.delete(key);
+      this.options.listener.onControlHostLeft(key);
     }
   }
 
--- a/packages/gateway/src/link/link_listener.ts
+++ b/packages/gateway/src/link/link_listener.ts
@@ -1,12 +1,12 @@
-import type {
-  EntryPeer,
-  Presence,
-  PublishedDocument,
-} from '@vanillamux/protocol';
+import type {EntryPeer, PublishedDocument} from '@vanillamux/protocol';
+import type {ReportBatch} from '../fleet/backend_pool.js';
 
 /** Receives updates from the control hosts. */
 export abstract class LinkListener {
-  abstract onReports(reports: readonly Presence[]): void;
+  /** Called with each response to a poll, also if it has no report. */
+  abstract onReports(batch: ReportBatch): void;
+  /** Called when a control host has left the group. */
+  abstract onControlHostLeft(host: string): void;
   /** Version of the configuration that this host has; -1 for none. */
   abstract get version(): number;
   abstract onDocument(document: PublishedDocument): void;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,10 +1,6 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Recorder} from '@vanillamux/control';
-import type {
-  EntryPeer,
-  Presence,
-  PublishedDocument,
-} from '@vanillamux/protocol';
+import type {EntryPeer, PublishedDocument} from '@vanillamux/protocol';
 import {
   getLogger,
   HybridClock,
@@ -20,7 +16,7 @@
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {DepartureManager} from '../departures/departure_manager.js';
-import {BackendPool} from '../fleet/backend_pool.js';
+import {BackendPool, type ReportBatch} from '../fleet/backend_pool.js';
 import {BackendSignals} from '../fleet/backend_signals.js';
 import {ConfigStore} from '../link/config_store.js';
 import {ControlLinks} from '../link/control_links.js';
@@ -261,8 +257,12 @@
     return this.config.version;
   }
 
-  onReports(reports: readonly Presence[]): void {
-    this.backends.apply(reports);
+  onReports(batch: ReportBatch): void {
+    this.backends.apply(batch);
+  }
+
+  onControlHostLeft(host: string): void {
+    this.backends.removeControlHost(host);
   }
 
   onDocument(document: PublishedDocument): void {
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -9,6 +9,7 @@
   type EntryMeshOptions,
   type LivePeer,
 } from './entry_mesh.js';
+export {endIncarnation} from './end_incarnation.js';
 export {createMeshRouter, type MeshRouterRoot} from './mesh_router.js';
 export {PeerInFlightTracker} from './peer_in_flight_tracker.js';
 export {DeltaOutbox} from './delta_outbox.js';
--- a/packages/membership/src/presence_table.ts
+++ b/packages/membership/src/presence_table.ts
@@ -1,5 +1,6 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {formatAddress, monotonicMs} from '@vanillamux/shared';
+import {endIncarnation} from './end_incarnation.js';
 
 /**
  * Time for which an ended incarnation is kept. Late heartbeats arrive seconds
@@ -43,7 +44,7 @@
     const previousOwner = this.findPreviousOwner(report, address);
     if (previousOwner && report.state !== PresenceState.Gone) {
       if (previousOwner.incarnation > report.incarnation) return [];
-      const goneReport = {...previousOwner, state: PresenceState.Gone};
+      const goneReport = endIncarnation(previousOwner);
       this.store(goneReport);
       changes.push(goneReport);
     }
@@ -65,16 +66,20 @@
     return [...this.entries.values()].map(({presence}) => presence);
   }
 
+  /** Deletes what is known about a backend server. */
+  delete(id: string): void {
+    const presence = this.get(id);
+    if (!presence) return;
+    this.entries.delete(id);
+    const address = formatAddress(presence.address);
+    if (this.idByAddress.get(address) === id) this.idByAddress.delete(address);
+  }
+
   /** Deletes incarnations that ended at least `GONE_TTL_MS` ago. */
   deleteExpired(): void {
     for (const [id, {presence, changedMs}] of this.entries) {
       if (presence.state !== PresenceState.Gone) continue;
-      if (this.now() - changedMs < GONE_TTL_MS) continue;
-      this.entries.delete(id);
-      const address = formatAddress(presence.address);
-      if (this.idByAddress.get(address) === id) {
-        this.idByAddress.delete(address);
-      }
+      if (this.now() - changedMs >= GONE_TTL_MS) this.delete(id);
     }
   }
 
--- a/packages/protocol/src/presence_schema.ts
+++ b/packages/protocol/src/presence_schema.ts
@@ -18,6 +18,12 @@
   /** Orders the reports of one incarnation. */
   sequence: countSchema,
   state: z.nativeEnum(PresenceState),
+  /**
+   * Whether a `Gone` report is a fact about the incarnation: it has said that
+   * it leaves, or a later one has its address. Control hosts of earlier
+   * versions leave it out, and also send `Gone` for what they don't hear.
+   */
+  isConfirmed: z.boolean().optional(),
   service: nameSchema.min(1),
   address: destinationSchema,
   failureDomain: nameSchema,
