fix(control): a control host that stops for good leaves its group first

Cause: the successor becomes a voter beside the host that it replaces, and that host ended at SIGTERM without a word. It stayed one of four voters for 3 s; with one more disk lost, two of four were left and could remove nobody.

Now a host that stops is removed before it ends, while the number of voters is even: the majority of the others is smaller without it, whether it returns or not. A leader resigns first: Spin refuted a leader that removes itself (REMOVE_SELF). A silent voter out of an even number is removed after 2 s instead of 3 s, and a host that starts with its disk asks to join at once.

--- a/models/repair.pml
+++ b/models/repair.pml
@@ -3,13 +3,17 @@
  * implemented by MembershipPolicy in packages/control and by VoteHandler and
  * Leader in packages/consensus. A further disk may be lost as soon as every host
  * that runs is a voter again, and the leader may be lost at any step, as when all
- * hosts lose power and start again with what their disks hold.
+ * hosts lose power and start again with what their disks hold. A host may also be
+ * replaced in the planned way: its successor starts first; once that is a voter,
+ * the host stops for good, and from that moment on no longer counts as a loss. A
+ * host that stops leaves the group before it ends, while the number of voters is
+ * even: the majority of the others is then smaller.
  *
  * Asserted: in every state some member can win an election, and its log holds
  * every committed entry. Safety of elections themselves is in consensus.pml.
  *
- * Identities 0, 1 and 2 form the group; 3 and 4 are those that hosts get after
- * the first and second loss of a disk.
+ * Identities 0, 1 and 2 form the group; 3 and 4 are those of successors, and those
+ * that hosts get after the loss of a disk.
  *
  * The state space is explored exhaustively within each of these bounds:
  *   bounds MAX_TERM=3 MAX_LOG=6
@@ -20,6 +24,11 @@
  *   PROMOTE_FIRST         a successor becomes a voter before the lost identity
  *                         is removed
  *   LOSS_DURING_REPAIR    a further disk may be lost before the repair is over
+ *   SILENT_STOP           a host that is replaced ends without leaving the group
+ *   REMOVE_SELF           a leader that stops removes itself, instead of leaving
+ *                         that to its successor
+ *   LEAVE_ODD             a host that stops leaves a group with any number of
+ *                         voters, and ends before a successor has its place
  */
 #define IDENTITIES 5
 #define NONE 255
@@ -46,6 +55,9 @@
 /* Identities whose disk exists. A host that is down keeps its disk and returns. */
 byte alive = INITIAL_VOTERS;
 byte nextIdentity = 3;
+/* Identity that a successor replaces, and whether its host has begun to stop. */
+byte replaced = NONE;
+bool isStopping;
 byte leader = NONE;
 byte term;
 byte length[IDENTITIES];
@@ -62,7 +74,24 @@
 #define MAY_LOSE_DISK true
 #else
 /* Every identity that exists is a voter, and the leader knows that for certain. */
-#define MAY_LOSE_DISK (nextIdentity == 3 || (HAS_COMMITTED_ALL && (alive & VOTERS(leader)) == alive))
+#define MAY_LOSE_DISK (nextIdentity == 3 || (HAS_COMMITTED_ALL && (COUNTED & VOTERS(leader)) == COUNTED))
+#endif
+
+/* Identities that are lost if their disk is; one that stops for good is not. */
+#define COUNTED (isStopping -> alive & (31 - (1 << replaced)) : alive)
+
+#ifdef REMOVE_SELF
+#define MAY_REMOVE_SELF true
+#else
+#define MAY_REMOVE_SELF (leader != replaced)
+#endif
+
+#ifdef LEAVE_ODD
+#define MAY_STOP true
+#define MAY_LEAVE true
+#else
+#define MAY_STOP (HAS_COMMITTED_ALL && (alive & VOTERS(leader)) == alive)
+#define MAY_LEAVE (SIZE(VOTERS(leader)) % 2 == 0)
 #endif
 
 #ifdef PROMOTE_FIRST
@@ -154,6 +183,19 @@
   clearLog(i, 0)
 }
 
+inline endReplaced() {
+  if
+  :: leader == replaced -> leader = NONE
+  :: else
+  fi;
+  alive = alive & (31 - (1 << replaced));
+  length[replaced] = 0;
+  ackedLength[replaced] = 0;
+  clearLog(replaced, 0);
+  replaced = NONE;
+  isStopping = false
+}
+
 init {
   byte i, k, n;
   do
@@ -169,12 +211,30 @@
           d_step { commit(); skip }
        :: HAS_COMMITTED_ALL && length[leader] < MAX_LOG && CONTAINS(VOTERS(leader), i) && !CONTAINS(alive, i) && MAY_REMOVE(i) ->
           d_step { n = VOTERS(leader) & (31 - (1 << i)); appendEntry(n); skip }
-       :: HAS_COMMITTED_ALL && length[leader] < MAX_LOG && !CONTAINS(VOTERS(leader), i) && CONTAINS(alive, i) && MAY_PROMOTE(i) && HAS_CAUGHT_UP(i) ->
+       :: HAS_COMMITTED_ALL && length[leader] < MAX_LOG && !CONTAINS(VOTERS(leader), i) && CONTAINS(alive, i) && !(isStopping && i == replaced) && MAY_PROMOTE(i) && HAS_CAUGHT_UP(i) ->
           d_step { n = VOTERS(leader) | (1 << i); appendEntry(n); skip }
        :: leader != NONE ->
           d_step { leader = NONE; skip }
-       :: nextIdentity < IDENTITIES && CONTAINS(alive, i) && MAY_LOSE_DISK ->
+       :: nextIdentity < IDENTITIES && CONTAINS(alive, i) && i != replaced && MAY_LOSE_DISK ->
           d_step { loseDisk(i); skip }
+       :: nextIdentity < IDENTITIES && CONTAINS(alive, i) && replaced == NONE && MAY_LOSE_DISK ->
+          d_step {
+            replaced = i;
+            alive = alive | (1 << nextIdentity);
+            nextIdentity++;
+            skip
+          }
+#ifdef SILENT_STOP
+       :: i == replaced && MAY_STOP ->
+          d_step { endReplaced(); skip }
+#else
+       :: i == replaced && !isStopping && MAY_STOP ->
+          d_step { isStopping = true; skip }
+       :: isStopping && i == replaced && MAY_REMOVE_SELF && HAS_COMMITTED_ALL && length[leader] < MAX_LOG && CONTAINS(VOTERS(leader), i) && MAY_LEAVE ->
+          d_step { n = VOTERS(leader) & (31 - (1 << i)); appendEntry(n); skip }
+       :: isStopping && i == replaced && HAS_COMMITTED_ALL && !CONTAINS(VOTERS(leader), i) ->
+          d_step { endReplaced(); skip }
+#endif
        :: else
        fi;
        i = 0; k = 0; n = 0
--- a/packages/consensus/src/election_manager.ts
+++ b/packages/consensus/src/election_manager.ts
@@ -12,6 +12,9 @@
 
 /** Starts elections after an election timeout without leader contact. */
 export class ElectionManager {
+  /** Until then, this member starts no election. */
+  private delayedUntilMs = -Infinity;
+
   constructor(
     private readonly state: RaftState,
     private readonly transport: RaftTransport,
@@ -30,6 +33,11 @@
     }
   }
 
+  /** Starts no election for a time. */
+  delay(ms: number): void {
+    this.delayedUntilMs = monotonicMs() + ms;
+  }
+
   /** Runs a pre-vote and, if it is won, an election. */
   async campaign(signal: AbortSignal): Promise<void> {
     const {state} = this;
@@ -56,18 +64,20 @@
   }
 
   /**
-   * Returns the minimum wait between two checks. Leaders and learners start no
-   * election and only check whether their role has changed.
+   * Returns the minimum wait between two checks. Leaders, learners and members
+   * that have resigned start no election and only check whether that has changed.
    */
   private minWaitMs(): number {
     const {isVoter, role} = this.state;
-    const isIdle = !isVoter || role === RaftRole.Leader;
+    const isDelayed = monotonicMs() < this.delayedUntilMs;
+    const isIdle = !isVoter || role === RaftRole.Leader || isDelayed;
     return isIdle ? this.timing.heartbeatMs : 0;
   }
 
   private shouldCampaign(timeoutMs: number): boolean {
     const {state} = this;
     if (!state.isVoter || state.role === RaftRole.Leader) return false;
+    if (monotonicMs() < this.delayedUntilMs) return false;
     return monotonicMs() - state.lastLeaderContactMs >= timeoutMs;
   }
 
--- a/packages/consensus/src/raft_node.ts
+++ b/packages/consensus/src/raft_node.ts
@@ -45,6 +45,9 @@
 /** Size of the entries kept before a snapshot; far below `SNAPSHOT_BYTES`. */
 const TRAILING_BYTES = 4 * 1_024 * 1_024;
 
+/** Time without elections after a resignation; several election timeouts. */
+const RESIGNATION_MS = 3_000;
+
 const log = getLogger('consensus');
 
 /** Options of a `RaftNode`. */
@@ -122,6 +125,17 @@
       .catch((error: unknown) => this.onStorageFailure(error));
   }
 
+  /**
+   * Gives up leadership, so that another member is elected: this one does not
+   * stand again until the others had the time to.
+   */
+  resign(): void {
+    if (!this.leader) return;
+    this.electionManager.delay(RESIGNATION_MS);
+    this.state.leaderId = undefined;
+    this.state.become(RaftRole.Follower);
+  }
+
   /** Stops elections and replication, and closes transport and storage. */
   async stop(): Promise<void> {
     this.abortController.abort();
--- a/packages/control/__tests__/membership_policy.test.ts
+++ b/packages/control/__tests__/membership_policy.test.ts
@@ -68,6 +68,8 @@
   readonly name: string;
   readonly members: readonly MemberStatus[];
   readonly requests?: readonly JoinRequest[];
+  /** Members whose hosts stop. */
+  readonly leaving?: readonly string[];
   readonly discovered?: string;
   readonly declared?: string;
 }
@@ -154,6 +156,76 @@
     discovered: '+a/1 +b/1 +d/1',
     declared: '+a/1 +b/1 +d/1',
   },
+  {
+    name: 'removes a host that stops out of an even number of voters',
+    members: [member('a/1'), member('b/1'), member('c/1'), member('d/1')],
+    leaving: ['c/1'],
+    discovered: '+a/1 +b/1 +d/1',
+    declared: 'no change',
+  },
+  {
+    name: 'keeps a host that stops out of an odd number of voters',
+    members: [member('a/1'), member('b/1'), member('c/1')],
+    leaving: ['c/1'],
+    discovered: 'no change',
+    declared: 'no change',
+  },
+  {
+    name: 'promotes the successor of a host that stops first',
+    members: [
+      member('a/1'),
+      member('b/1'),
+      member('c/1'),
+      member('d/1', readyLearner),
+    ],
+    leaving: ['c/1'],
+    discovered: '+a/1 +b/1 +c/1 +d/1',
+    declared: '+a/1 +b/1 +c/1 +d/1',
+  },
+  {
+    name: 'removes one of two hosts that stop',
+    members: [member('a/1'), member('b/1'), member('c/1'), member('d/1')],
+    leaving: ['b/1', 'c/1'],
+    discovered: '+a/1 +c/1 +d/1',
+    declared: 'no change',
+  },
+  {
+    name: 'does not let a leader remove itself',
+    members: [member('a/1'), member('b/1'), member('c/1'), member('d/1')],
+    leaving: ['a/1'],
+    discovered: 'no change',
+    declared: 'no change',
+  },
+  {
+    name: 'does not promote a learner that stops',
+    members: [member('a/1'), member('b/1'), member('c/2', readyLearner)],
+    leaving: ['c/2'],
+    discovered: 'no change',
+    declared: 'no change',
+  },
+  {
+    name: 'removes a voter out of an even number after a shorter silence',
+    members: [
+      member('a/1'),
+      member('b/1'),
+      member('c/1', {silentMs: 2_100}),
+      member('d/1'),
+    ],
+    discovered: '+a/1 +b/1 +d/1',
+    declared: 'no change',
+  },
+  {
+    name: 'keeps a voter out of an odd number after the same silence',
+    members: [
+      member('a/1'),
+      member('b/1'),
+      member('c/1', {silentMs: 2_100}),
+      member('d/1'),
+      member('e/1'),
+    ],
+    discovered: 'no change',
+    declared: 'no change',
+  },
   {
     name: 'removes a silent learner only where it can ask to join again',
     members: [
@@ -213,7 +285,8 @@
 ];
 
 describe('the next change of the members', () => {
-  for (const {name, members, requests = [], discovered, declared} of CASES) {
+  for (const {name, members, requests = [], ...row} of CASES) {
+    const {discovered, declared, leaving = []} = row;
     for (const [usesDiscovery, expected] of [
       [true, discovered],
       [false, declared],
@@ -229,6 +302,7 @@
           statusOf(members),
           requests,
           LAST_INDEX,
+          new Set(leaving),
         );
         assert.equal(describeMembers(change?.members), expected);
       });
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -17,6 +17,7 @@
 import type {ControlSettings} from './control_settings.js';
 import {EntryHostFeed} from './entry_host_feed.js';
 import {GroupJoiner} from './group_joiner.js';
+import {GroupLeaver} from './group_leaver.js';
 import {MembershipManager} from './membership_manager.js';
 import {Publisher} from './publisher.js';
 import {ReservationExpirer} from './reservation_expirer.js';
@@ -29,9 +30,12 @@
 /** Serves RPC calls and metrics of a control host and runs its tasks. */
 export class ControlServer {
   private readonly stopping = new AbortController();
+  /** Aborted first, as a host that leaves its group must not join again. */
+  private readonly leaving = new AbortController();
 
   private constructor(
     readonly host: ControlHost,
+    private readonly membershipManager: MembershipManager,
     readonly publisher: Publisher,
     readonly backends: BackendRegistry,
     private readonly httpServers: readonly Server[],
@@ -75,6 +79,7 @@
     }
     const controlServer = new ControlServer(
       host,
+      membershipManager,
       publisher,
       backends,
       httpServers,
@@ -82,13 +87,7 @@
     );
     host.timeline.add(EventKind.Started, `control host ${settings.id}`);
     const {signal} = controlServer.stopping;
-    const groupJoiner = new GroupJoiner(host);
-    void groupJoiner.run(signal).then(() => {
-      if (signal.aborted) return;
-      host.node.start();
-      if (settings.discovery) void groupJoiner.rejoinWhenRemoved(signal);
-      else groupJoiner.close();
-    });
+    void controlServer.joinGroup();
     void membershipManager.run(signal);
     void expireBackends(backends, settings.heartbeatMs, signal);
     void new ReservationExpirer(host).run(signal);
@@ -99,8 +98,10 @@
     return succeed(controlServer);
   }
 
-  /** Stops the tasks, closes all connections and closes the files. */
+  /** Leaves the group if that is safer, and stops everything. */
   async stop(): Promise<void> {
+    this.leaving.abort();
+    await new GroupLeaver(this.host, this.membershipManager).leave();
     this.stopping.abort();
     this.closeRpc();
     this.publisher.close();
@@ -110,6 +111,19 @@
     }
     await this.host.close();
   }
+
+  private async joinGroup(): Promise<void> {
+    const {host} = this;
+    const {signal} = this.leaving;
+    const hadGroup = host.hasGroup;
+    const groupJoiner = new GroupJoiner(host);
+    await groupJoiner.run(signal);
+    if (signal.aborted) return groupJoiner.close();
+    host.node.start();
+    if (!host.settings.discovery) return groupJoiner.close();
+    if (hadGroup) await groupJoiner.rejoinAfterStart();
+    await groupJoiner.rejoinWhenRemoved(signal);
+  }
 }
 
 async function expireBackends(
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -45,6 +45,17 @@
     }
   }
 
+  /**
+   * Asks to be added again after a start, because a host that stops may have
+   * left the group; a member is not added twice.
+   */
+  async rejoinAfterStart(): Promise<void> {
+    for (const {address} of this.host.node.status().members)
+      this.addAddress(address);
+    const addresses = [...this.knownAddresses.values()];
+    await Promise.all(addresses.map(address => this.askToJoin(address)));
+  }
+
   /**
    * Asks to be added again whenever no leader is heard, because the group may
    * have removed this host.
--- a/packages/control/src/group_router.ts
+++ b/packages/control/src/group_router.ts
@@ -29,6 +29,12 @@
       .mutation(async ({input}) => {
         unwrap(await membershipManager.remove(input.memberId));
       }),
+    /** Stores that a member's host stops; tells what becomes of the member. */
+    leave: procedure
+      .input(z.object({memberId: z.string()}))
+      .mutation(({input}) =>
+        unwrap(membershipManager.requestLeave(input.memberId)),
+      ),
     status: procedure.query(() => host.node.status()),
     events: procedure.query(() => host.timeline.events()),
   });
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -12,11 +12,14 @@
 } from '@vanillamux/shared';
 import type {ControlHost} from './control_host.js';
 import type {JoinRequest} from './join_request.js';
+import {LeaveVerdict} from './leave_verdict.js';
 import {MembershipPolicy} from './membership_policy.js';
 
 const CHECK_INTERVAL_MS = 250;
 /** Time after which a join request that is not renewed is dropped. */
 const JOIN_REQUEST_TTL_MS = 5_000;
+/** Time after which a request to leave that is not renewed is dropped. */
+const LEAVE_REQUEST_TTL_MS = 2_000;
 /** Shortest time between two log lines on a learner that lags. */
 const LAG_REPORT_INTERVAL_MS = 1_000;
 /** Changes in one check; more follow in the next one. */
@@ -31,6 +34,8 @@
  */
 export class MembershipManager {
   private readonly joinRequests = new Map<string, JoinRequest>();
+  /** When each member that leaves last asked for it. */
+  private readonly leaveRequestMs = new Map<string, number>();
   private readonly policy: MembershipPolicy;
   private lagReportedMs = Number.NEGATIVE_INFINITY;
   /** Last log index at the previous check while this host was the leader. */
@@ -55,6 +60,35 @@
     return this.storeJoinRequest(member, true);
   }
 
+  /**
+   * Takes note that the host of a member stops. The host repeats the request
+   * until it has left, or stays a member.
+   */
+  requestLeave(memberId: string): Result<LeaveVerdict> {
+    const status = this.host.node.status();
+    if (status.role !== RaftRole.Leader) return this.failAsFollower();
+    this.leaveRequestMs.set(memberId, monotonicMs());
+    const verdict = this.policy.judgeLeaving(
+      status,
+      this.leavingIds(),
+      memberId,
+    );
+    const isCommitted = status.membersIndex <= status.commitIndex;
+    if (verdict === LeaveVerdict.Left && !isCommitted)
+      return succeed(LeaveVerdict.Pending);
+    return succeed(verdict);
+  }
+
+  /** Whether this host's group might remove it if it stopped. */
+  get mayLeave(): boolean {
+    return this.policy.mayLeave(this.host.node.status());
+  }
+
+  /** Whether a member that leaves would be removed now. */
+  get canRemoveVoter(): boolean {
+    return this.policy.canRemoveVoter(this.host.node.status().members);
+  }
+
   /** Removes a member at the request of an operator. */
   async remove(memberId: string): Promise<Result<void>> {
     const {members} = this.host.node.status();
@@ -83,13 +117,7 @@
     isFromOperator: boolean,
   ): Result<boolean> {
     const status = this.host.node.status();
-    if (status.role !== RaftRole.Leader) {
-      const leader = status.members.find(({id}) => id === status.leaderId);
-      const field = leader
-        ? `${leader.address.host}:${leader.address.port}`
-        : undefined;
-      return fail(new VmuxError(ErrorCodes.NotLeader, {field}));
-    }
+    if (status.role !== RaftRole.Leader) return this.failAsFollower();
     const previous = this.joinRequests.get(member.id);
     if (status.members.some(({id}) => id === member.id)) return succeed(true);
     this.joinRequests.set(member.id, {
@@ -101,6 +129,25 @@
     return succeed(true);
   }
 
+  /** Fails with `NotLeader`, and names the leader if it is known. */
+  private failAsFollower(): Result<never> {
+    const {members, leaderId} = this.host.node.status();
+    const leader = members.find(({id}) => id === leaderId);
+    const field = leader
+      ? `${leader.address.host}:${leader.address.port}`
+      : undefined;
+    return fail(new VmuxError(ErrorCodes.NotLeader, {field}));
+  }
+
+  /** Members that have asked to leave lately. */
+  private leavingIds(): ReadonlySet<string> {
+    for (const [id, requestedMs] of this.leaveRequestMs) {
+      if (monotonicMs() - requestedMs > LEAVE_REQUEST_TTL_MS)
+        this.leaveRequestMs.delete(id);
+    }
+    return new Set(this.leaveRequestMs.keys());
+  }
+
   /** Makes the changes that the group needs now, one after the other. */
   private async reconcile(): Promise<void> {
     this.expireJoinRequests();
@@ -114,6 +161,7 @@
         node.status(),
         [...this.joinRequests.values()],
         caughtUpIndex,
+        this.leavingIds(),
       );
       if (!change) break;
       const {members, reason} = change;
--- a/packages/control/src/membership_policy.ts
+++ b/packages/control/src/membership_policy.ts
@@ -5,6 +5,7 @@
   type MemberStatus,
 } from '@vanillamux/consensus';
 import type {JoinRequest} from './join_request.js';
+import {LeaveVerdict} from './leave_verdict.js';
 import type {MemberChange} from './member_change.js';
 
 /** Silence up to which a member counts as alive. */
@@ -14,7 +15,8 @@
 /**
  * Silence after which a discovered group removes a surplus member, a few times
  * the election timeout. A dead voter still counts towards the quorum: with four
- * voters, no other may fail. A voter that was only unreachable joins again.
+ * voters, no other may fail, so an even number is not kept as long. A voter that
+ * was only unreachable joins again.
  */
 const MAX_MEMBER_SILENCE_MS = 3_000;
 /** Fewest voters to which a discovered group shrinks by itself. */
@@ -33,28 +35,87 @@
 /**
  * Decides how the leader changes the members of its group, one at a time. A
  * member that will never answer again is removed before its successor becomes a
- * voter: the group then never needs more live voters than before the loss.
+ * voter: the group then never needs more live voters than before the loss. A
+ * host that is replaced while it runs is a voter beside its successor until it
+ * stops, and leaves then.
  */
 export class MembershipPolicy {
   constructor(private readonly options: MembershipPolicyOptions) {}
 
   /**
    * Returns the next change; `undefined` if there is none to make. A learner
-   * that has the log up to `caughtUpIndex` may become a voter.
+   * that has the log up to `caughtUpIndex` may become a voter. `leavingIds` are
+   * the members whose hosts stop.
    */
   nextChange(
     status: GroupStatus,
     joinRequests: readonly JoinRequest[],
     caughtUpIndex: number,
+    leavingIds: ReadonlySet<string> = new Set(),
   ): MemberChange | undefined {
     return (
       this.removeReplaced(status) ??
-      this.promoteLearner(status, caughtUpIndex) ??
+      this.removeLeaving(status, leavingIds) ??
+      this.promoteLearner(status, caughtUpIndex, leavingIds) ??
       this.removeSurplus(status) ??
       this.addLearner(status, joinRequests)
     );
   }
 
+  /**
+   * Decides what becomes of a member whose host stops, which may come back. Out
+   * of an even number of voters, the others need a smaller majority without it.
+   * Out of an odd number they don't, unless a learner takes its place.
+   */
+  judgeLeaving(
+    {members}: GroupStatus,
+    leavingIds: ReadonlySet<string>,
+    id: string,
+  ): LeaveVerdict {
+    const leaving = members.find(member => member.id === id);
+    if (!leaving) return LeaveVerdict.Left;
+    if (!isVoter(leaving)) return LeaveVerdict.Kept;
+    const others = members.filter(member => !leavingIds.has(member.id));
+    return this.canRemoveVoter(members) || this.hasSuccessor(others)
+      ? LeaveVerdict.Pending
+      : LeaveVerdict.Kept;
+  }
+
+  /** Whether a member of the group might be removed if its host stopped. */
+  mayLeave({members}: GroupStatus): boolean {
+    return this.canRemoveVoter(members) || this.hasSuccessor(members);
+  }
+
+  /** Whether the group is not weaker without a voter that is down or stops. */
+  canRemoveVoter(members: readonly Member[]): boolean {
+    const voters = members.filter(isVoter);
+    return (
+      this.options.usesDiscovery &&
+      voters.length > this.minVoters &&
+      voters.length % 2 === 0
+    );
+  }
+
+  /** Whether a learner may become a voter in place of another member. */
+  private hasSuccessor(members: readonly MemberStatus[]): boolean {
+    // A host that has left joins again only if it discovers its group.
+    return this.options.usesDiscovery && members.some(isLiveLearner);
+  }
+
+  private removeLeaving(
+    {members, selfId}: GroupStatus,
+    leavingIds: ReadonlySet<string>,
+  ): MemberChange | undefined {
+    if (!this.canRemoveVoter(members)) return undefined;
+    const member = members.find(
+      candidate =>
+        isVoter(candidate) &&
+        candidate.id !== selfId &&
+        leavingIds.has(candidate.id),
+    );
+    return member && remove(members, member, 'which stops');
+  }
+
   private removeReplaced({members}: GroupStatus): MemberChange | undefined {
     const member = members.find(({isReplaced}) => isReplaced);
     return member && remove(members, member, 'whose disk is lost');
@@ -63,11 +124,12 @@
   private promoteLearner(
     {members}: GroupStatus,
     caughtUpIndex: number,
+    leavingIds: ReadonlySet<string>,
   ): MemberChange | undefined {
     const learner = members.find(
       member =>
-        !isVoter(member) &&
-        silenceOf(member) <= MAX_LIVE_SILENCE_MS &&
+        isLiveLearner(member) &&
+        !leavingIds.has(member.id) &&
         (member.matchIndex ?? 0) >= caughtUpIndex,
     );
     if (!learner) return undefined;
@@ -101,9 +163,12 @@
     const hasSuccessor = voters.some(
       voter => voter.hostId === hostId && voter.id !== id,
     );
-    if (hasSuccessor) return MAX_LIVE_SILENCE_MS;
     const {usesDiscovery, replaceAfterMs} = this.options;
-    return usesDiscovery ? MAX_MEMBER_SILENCE_MS : replaceAfterMs;
+    if (hasSuccessor) return MAX_LIVE_SILENCE_MS;
+    if (!usesDiscovery) return replaceAfterMs;
+    return this.canRemoveVoter(voters)
+      ? MAX_LIVE_SILENCE_MS
+      : MAX_MEMBER_SILENCE_MS;
   }
 
   private addLearner(
@@ -146,6 +211,10 @@
   return role === MemberRole.Voter;
 }
 
+function isLiveLearner(member: MemberStatus): boolean {
+  return !isVoter(member) && silenceOf(member) <= MAX_LIVE_SILENCE_MS;
+}
+
 function silenceOf({silentMs}: MemberStatus): number {
   return silentMs ?? 0;
 }
