fix(gateway): a host that stops reads nothing that it will not answer

Cause: ClientServer knew connections from their first request on, so that those without one stayed open, and Gateway.stop took the first moment without a request in flight for the end.

A connection is known once it is accepted; the host closes those on which nothing was read and ends when none is left, so nothing can be read afterwards. What has arrived in part is waited for within the grace time. Requests of one connection take turns: a later one was passed on although the response before it closed the connection.

--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -12,6 +12,7 @@
 import type {RelaySource} from '../relay/relay_source.js';
 import {AbortReason} from './abort_reason.js';
 import type {ClientRequest} from './client_request.js';
+import {ConnectionTurns} from './connection_turns.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {RequestFingerprint} from './request_fingerprint.js';
 import {RequestRunner} from './request_runner.js';
@@ -42,6 +43,7 @@
 /** Matches, authenticates and reads a request, and then runs it. */
 export class RequestHandler {
   private readonly startedMs = monotonicMs();
+  private readonly turns = new ConnectionTurns();
   private inFlightCount = 0;
   private readonly runningRequests = new Set<AbortController>();
 
@@ -59,10 +61,12 @@
     relay?: RelaySource,
   ): Promise<void> {
     this.inFlightCount++;
-    try {
-      await this.processRequest(req, res, relay);
-    } catch (error) {
-      this.handleException(req, res, error);
+    if (await this.turns.take(req.socket, res)) {
+      try {
+        await this.processRequest(req, res, relay);
+      } catch (error) {
+        this.handleException(req, res, error);
+      }
     }
     await responseClosed(res);
     this.inFlightCount--;
--- a/packages/gateway/src/request/response_closed.ts
+++ b/packages/gateway/src/request/response_closed.ts
@@ -6,7 +6,17 @@
  * the process drops the queue.
  */
 export function responseClosed(res: ServerResponse): Promise<void> {
-  // Node emits 'close' after 'finish' and when the connection closes.
-  if (res.closed || res.destroyed) return Promise.resolve();
-  return new Promise(resolve => res.once('close', () => resolve()));
+  const {socket} = res.req;
+  if (res.closed || res.destroyed || socket.destroyed) return Promise.resolve();
+  return new Promise(resolve => {
+    const onClose = (): void => {
+      res.off('close', onClose);
+      socket.off('close', onClose);
+      resolve();
+    };
+    // Node emits 'close' after 'finish', and when the connection closes, but
+    // not on a response that waits for that to an earlier request.
+    res.on('close', onClose);
+    socket.on('close', onClose);
+  });
 }
--- a/packages/gateway/src/server/client_server.ts
+++ b/packages/gateway/src/server/client_server.ts
@@ -6,6 +6,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 
+/** State of one connection. */
 interface ConnectionState {
   /** Responses that were not handed over to the system yet. */
   readonly pendingResponses: Set<ServerResponse>;
@@ -23,10 +24,20 @@
 
   constructor(options: ServerOptions, listener: RequestListener) {
     super(options, listener);
+    this.on('connection', socket => this.add(socket));
     this.on('request', (req, res) => this.track(req.socket, res));
   }
 
-  /** Also called by `close()`. */
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.states.size;
+  }
+
+  /**
+   * Closes the connections on which no request is in progress, also those that
+   * had none yet: a request that arrives later is not read. Also called by
+   * `close()`.
+   */
   override closeIdleConnections(): void {
     for (const [socket, {pendingResponses, bytesRead}] of this.states) {
       // Bytes that were read since then belong to another request.
@@ -47,7 +58,8 @@
   }
 
   private track(socket: Socket, res: ServerResponse): void {
-    const state = this.states.get(socket) ?? this.add(socket);
+    const state = this.states.get(socket);
+    if (!state) return;
     state.pendingResponses.add(res);
     res.once('close', () => {
       state.pendingResponses.delete(res);
@@ -55,13 +67,8 @@
     });
   }
 
-  private add(socket: Socket): ConnectionState {
-    const state: ConnectionState = {
-      pendingResponses: new Set(),
-      bytesRead: 0,
-    };
-    this.states.set(socket, state);
+  private add(socket: Socket): void {
+    this.states.set(socket, {pendingResponses: new Set(), bytesRead: 0});
     socket.once('close', () => this.states.delete(socket));
-    return state;
   }
 }
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -293,15 +293,27 @@
     this.factSync.onPeers(peers.length - 1);
   }
 
-  /** Waits until no request is in flight, at most until `endMs`. */
+  /**
+   * Waits until every connection is closed, so that nothing more can be read, at
+   * most until `endMs`. A connection closes once no request is in progress on
+   * it, of which a part may have arrived.
+   */
   private async drainUntil(endMs: number): Promise<void> {
     this.closeIdleConnections();
-    while (this.handler.inFlight > 0 && monotonicMs() < endMs) {
+    while (this.isServing && monotonicMs() < endMs) {
       await sleep(DRAIN_CHECK_INTERVAL_MS);
       this.closeIdleConnections();
     }
   }
 
+  private get isServing(): boolean {
+    const {servers, handler} = this;
+    return (
+      handler.inFlight > 0 ||
+      servers.some(({connectionCount}) => connectionCount > 0)
+    );
+  }
+
   /**
    * Ends the requests still in flight: resets responses that have begun, and
    * sends an error response to the others.
@@ -311,7 +323,11 @@
       server.resetConnections(res => res.headersSent && !res.writableEnded);
     this.handler.endRequests();
     await this.drainUntil(monotonicMs() + CUT_TIMEOUT_MS);
-    for (const server of this.servers) server.resetConnections(() => true);
+    for (const server of this.servers) {
+      server.resetConnections(() => true);
+      // What has arrived in part by now is not read to its end.
+      server.closeAllConnections();
+    }
   }
 
   private get servers(): readonly ClientServer[] {
