fix(gateway): the bodies that a host keeps are bounded in sum

Cause: each response (8 MiB) and each request was bounded, and nothing their sum; a client could also leave a body half sent for ever.

Each direction has a budget of 32 MiB beyond the first 16 KiB of each body. A workspace or backend server may hold as much as is left free. Without room a request is refused as not run, with Retry-After, and a response fails its attempt; a body that misses the client's deadline is refused with 408.

--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -26,6 +26,9 @@
     configVersion: () => 7,
     configAgeS: () => 1.5,
     controlHosts: () => 2,
+    heldRequestBytes: () => 10,
+    heldResponseBytes: () => 11,
+    bodiesWithoutRoom: () => 12,
     unacknowledgedEntries: () => 9,
     backends: () => [
       {service: 'notes', state: PresenceState.Ready, isEjected: false},
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -9,6 +9,7 @@
 import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
+import {ByteBudget} from '../src/bytes/byte_budget.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
 import {RequestHandler} from '../src/request/request_handler.js';
 import {StopGate} from '../src/request/stop_gate.js';
@@ -181,6 +182,8 @@
       observeRequest: () => undefined,
       countAttempt: () => undefined,
     },
+    requestBytes: new ByteBudget(4 * LARGE_BODY.length),
+    responseBytes: new ByteBudget(4 * LARGE_BODY.length),
     stopGate: new StopGate(),
     isDraining: () => false,
   };
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,7 +1,8 @@
 import {monotonicMs} from '@vanillamux/shared';
+import type {ByteHold} from '../bytes/byte_hold.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
-import type {ExchangeError} from '../connection/exchange_error.js';
+import {ExchangeError} from '../connection/exchange_error.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
@@ -129,9 +130,24 @@
     return {outcome: AttemptOutcome.Completed, reason: `status ${head.status}`};
   }
 
-  /** Reads the complete body. */
+  /**
+   * Reads the complete body. Its bytes count until the response to the client
+   * was handed over, or the attempt fails.
+   */
   protected async readBody(
     exchange: Exchange,
+  ): Promise<Buffer | ExchangeError> {
+    const {responseBytes} = this.components;
+    const hold = responseBytes.open(this.decision.backend.presence.id);
+    const body = await this.readHeldBody(exchange, hold);
+    if (Buffer.isBuffer(body)) this.request.onRelease(() => hold.release());
+    else hold.release();
+    return body;
+  }
+
+  private async readHeldBody(
+    exchange: Exchange,
+    hold: ByteHold,
   ): Promise<Buffer | ExchangeError> {
     exchange.limitBody();
     const chunks: Buffer[] = [];
@@ -141,6 +157,11 @@
       if (!result.ok) return result.error;
       this.recordBytes();
       if (!result.value) return Buffer.concat(chunks);
+      if (!hold.add(result.value.length)) {
+        const reason = 'no room for the body beside those of other responses';
+        exchange.cancel(reason);
+        return new ExchangeError(true, reason);
+      }
       chunks.push(result.value);
     }
   }
--- a/packages/gateway/src/request/client_request.ts
+++ b/packages/gateway/src/request/client_request.ts
@@ -16,6 +16,8 @@
   readonly workspace?: string;
   readonly priority: number;
   readonly body: Buffer;
+  /** Called to give back bytes once the response was handed over. */
+  readonly onRelease: (release: () => void) => void;
   readonly fingerprint: RequestFingerprint;
   /** The entry host that relays the request; absent if the client sent it. */
   readonly relay?: RelaySource;
--- a/packages/gateway/src/request/connection_turns.ts
+++ b/packages/gateway/src/request/connection_turns.ts
@@ -1,6 +1,4 @@
-import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {responseClosed} from './response_closed.js';
 
 /**
  * Lets the requests of a connection take turns. A client may send another one
@@ -11,12 +9,13 @@
   private readonly lastResponses = new WeakMap<Socket, Promise<void>>();
 
   /**
-   * Waits for the responses to earlier requests of the connection. Resolves to
-   * false if the connection is closed then.
+   * Waits for the responses to earlier requests of the connection; `closed`
+   * resolves at the end of this one's. Resolves to false if the connection is
+   * closed then.
    */
-  async take(socket: Socket, res: ServerResponse): Promise<boolean> {
+  async take(socket: Socket, closed: Promise<void>): Promise<boolean> {
     const previous = this.lastResponses.get(socket);
-    this.lastResponses.set(socket, responseClosed(res));
+    this.lastResponses.set(socket, closed);
     if (previous) await previous;
     return !socket.destroyed && socket.writable;
   }
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -1,3 +1,4 @@
+import type {ByteBudget} from '../bytes/byte_budget.js';
 import type {AdmissionPolicy} from '../admission/admission_policy.js';
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {Dialect} from '../dialect/dialect.js';
@@ -41,6 +42,10 @@
   readonly hostId: string;
   readonly factSync: FactSync;
   readonly requestRecorder: RequestRecorder;
+  /** Bytes of requests' bodies, by workspace. */
+  readonly requestBytes: ByteBudget;
+  /** Bytes of responses that are kept whole, by backend server. */
+  readonly responseBytes: ByteBudget;
   readonly metrics: GatewayMetrics;
   /** Requests that a host takes that is about to stop. */
   readonly stopGate: StopGate;
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -26,6 +26,8 @@
  * are reachable again store a part of it.
  */
 const RECORD_FULL_RETRY_AFTER_MS = 1_000;
+/** Retry-After while bodies fill their room; another host may have some. */
+const BODIES_FULL_RETRY_AFTER_MS = 500;
 /** Retry-After of a host that stops; its connection is closed. */
 const STOPPING_RETRY_AFTER_MS = 50;
 /**
@@ -38,6 +40,26 @@
 const STATUS_INTERNAL_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
+/** Responses to requests whose body was not read whole; none has run. */
+const BODY_REFUSALS: ReadonlyMap<ErrorCodes, ErrorResponse> = new Map([
+  [
+    ErrorCodes.BodyTooLarge,
+    {status: 413, reason: 'the body is larger than the limit'},
+  ],
+  [
+    ErrorCodes.Overloaded,
+    {
+      status: STATUS_UNAVAILABLE,
+      reason: 'no room for the body beside those of other requests',
+      retryAfterMs: BODIES_FULL_RETRY_AFTER_MS,
+    },
+  ],
+  [
+    ErrorCodes.Timeout,
+    {status: 408, reason: 'the body did not arrive in time'},
+  ],
+]);
+
 const log = getLogger('request');
 
 /** Matches, authenticates and reads a request, and then runs it. */
@@ -61,14 +83,17 @@
     relay?: RelaySource,
   ): Promise<void> {
     this.inFlightCount++;
-    if (await this.turns.take(req.socket, res)) {
+    const releases: Array<() => void> = [];
+    const closed = responseClosed(res);
+    if (await this.turns.take(req.socket, closed)) {
       try {
-        await this.processRequest(req, res, relay);
+        await this.processRequest(req, res, releases, relay);
       } catch (error) {
         this.handleException(req, res, error);
       }
     }
-    await responseClosed(res);
+    await closed;
+    for (const release of releases) release();
     this.inFlightCount--;
   }
 
@@ -108,6 +133,7 @@
   private async processRequest(
     req: IncomingMessage,
     res: ServerResponse,
+    releases: Array<() => void>,
     relay: RelaySource | undefined,
   ): Promise<void> {
     const startedMs = monotonicMs();
@@ -163,12 +189,18 @@
       const retryAfterMs = STOPPING_RETRY_AFTER_MS;
       return refuse({status: STATUS_UNAVAILABLE, reason, retryAfterMs});
     }
-    const body = await readBody(req, table.config.limits.maxBodyBytes);
+    const hold = components.requestBytes.open(workspace?.name ?? '');
+    releases.push(() => hold.release());
+    const body = await readBody(req, table.config.limits.maxBodyBytes, {
+      takeBytes: bytes => hold.add(bytes),
+      timeoutMs: Math.max(0, startedMs + timeoutMs - monotonicMs()),
+    });
     if (!body.ok) {
-      if (body.error.code !== ErrorCodes.BodyTooLarge) return;
-      const reason = 'the body is larger than the limit';
+      hold.release();
+      const refusal = BODY_REFUSALS.get(body.error.code);
+      if (!refusal) return;
       res.shouldKeepAlive = false;
-      return refuse({status: 413, reason});
+      return refuse(refusal);
     }
     const controller = new AbortController();
     const request: ClientRequest = {
@@ -182,6 +214,7 @@
       workspace: workspace?.name,
       priority: workspace?.priority ?? route.priority,
       body: body.value,
+      onRelease: release => releases.push(release),
       fingerprint: new RequestFingerprint({
         method: req.method ?? 'GET',
         path: req.url ?? '/',
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -12,6 +12,7 @@
   type Result,
 } from '@vanillamux/shared';
 import {createAdmissionPolicy} from '../admission/create_admission_policy.js';
+import {ByteBudget} from '../bytes/byte_budget.js';
 import {ConnectionPools} from '../connection/connection_pools.js';
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
@@ -64,6 +65,11 @@
 const MAX_RECORD_ENTRIES = 20_000;
 /** Timeout for sending the last entries; within the exit margin. */
 const RECORD_FLUSH_TIMEOUT_MS = 400;
+/**
+ * Bytes of bodies that are kept in each direction: together a quarter of the
+ * memory of the smallest host, 250 MB.
+ */
+const MAX_HELD_BYTES = 32 * 1_024 * 1_024;
 /** Idle timeout of clients until the configured limit is known. */
 const INITIAL_IDLE_TIMEOUT_MS = 15_000;
 const INITIAL_HEADER_TIMEOUT_MS = 3_000;
@@ -99,6 +105,8 @@
   private readonly recorder: Recorder;
   private readonly stopping = new AbortController();
   private readonly stopGate = new StopGate();
+  private readonly requestBytes = new ByteBudget(MAX_HELD_BYTES);
+  private readonly responseBytes = new ByteBudget(MAX_HELD_BYTES);
   private readonly notices: PeerNotices;
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
@@ -373,6 +381,8 @@
         peers: () => this.roster.current(monotonicMs()),
         isDraining: () => this.readiness.draining,
       }),
+      requestBytes: this.requestBytes,
+      responseBytes: this.responseBytes,
       hostId: settings.id,
       factSync: this.factSync,
       metrics: this.metrics,
@@ -393,6 +403,10 @@
       lostServices: () => this.reach.lostServices().length,
       cutOffPeers: () => this.peerReach.size,
       controlHosts: () => this.links.hosts().length,
+      heldRequestBytes: () => this.requestBytes.heldBytes,
+      heldResponseBytes: () => this.responseBytes.heldBytes,
+      bodiesWithoutRoom: () =>
+        this.requestBytes.refusals + this.responseBytes.refusals,
       unacknowledgedEntries: () => this.recorder.undelivered.length,
       backends: () =>
         this.backends.list().map(({presence, failures}) => ({
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -22,6 +22,12 @@
   cutOffPeers(): number;
   /** Control hosts that respond. */
   controlHosts(): number;
+  /** Bytes of requests' bodies that are kept. */
+  heldRequestBytes(): number;
+  /** Bytes of responses' bodies that are kept. */
+  heldResponseBytes(): number;
+  /** Bodies given up since the start because there was no room for them. */
+  bodiesWithoutRoom(): number;
   /** Entries of the record that no control host has acknowledged. */
   unacknowledgedEntries(): number;
   /** Backend servers with their service and known state. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -164,6 +164,21 @@
         'Control hosts that answer.',
         () => gauges.controlHosts(),
       ],
+      [
+        'vmux_gateway_held_request_bytes',
+        'Bytes of bodies of requests that are kept.',
+        () => gauges.heldRequestBytes(),
+      ],
+      [
+        'vmux_gateway_held_response_bytes',
+        'Bytes of bodies of responses that are kept.',
+        () => gauges.heldResponseBytes(),
+      ],
+      [
+        'vmux_gateway_bodies_without_room',
+        'Bodies given up since the start for want of room.',
+        () => gauges.bodiesWithoutRoom(),
+      ],
       [
         'vmux_gateway_record_waiting',
         'Entries of the record that no control host has confirmed.',
--- a/packages/shared/src/read_body.ts
+++ b/packages/shared/src/read_body.ts
@@ -12,29 +12,57 @@
  */
 const MAX_DISCARDED_BYTES = 64 * 1_024 * 1_024;
 
+/** Options of `readBody`. */
+export interface ReadBodyOptions {
+  /** Called with the size of each part; false if there is no room to keep it. */
+  readonly takeBytes?: (bytes: number) => boolean;
+  /** Time within which the whole body has to arrive, in milliseconds. */
+  readonly timeoutMs?: number;
+}
+
 /**
  * Reads the whole body of a request. Fails with `BodyTooLarge` when it is
- * larger than `maxBytes`, but only after the client has sent the whole body or
- * `MAX_DISCARDED_BYTES` beyond the limit, and with `Cancelled` when the client
- * disconnects before the end.
+ * larger than `maxBytes`, and with `Overloaded` when there is no room for it, but
+ * only after the client has sent the whole body or `MAX_DISCARDED_BYTES` beyond
+ * the limit; what arrives by then is not kept. Fails with `Timeout` when the
+ * body takes too long, and with `Cancelled` when the client disconnects before
+ * the end.
  */
 export function readBody(
   req: IncomingMessage,
   maxBytes: number,
+  {takeBytes = () => true, timeoutMs}: ReadBodyOptions = {},
 ): Promise<Result<Buffer>> {
   const message = `request body is larger than ${maxBytes} bytes`;
   const tooLarge = fail(new VmuxError(ErrorCodes.BodyTooLarge, {message}));
-  return new Promise(resolve => {
-    const chunks: Buffer[] = [];
+  return new Promise(resolvePromise => {
+    let chunks: Buffer[] = [];
     let size = 0;
+    let refusal: Result<Buffer> | undefined;
+    const timer =
+      timeoutMs === undefined
+        ? undefined
+        : setTimeout(() => {
+            refuse(fail(new VmuxError(ErrorCodes.Timeout)));
+            resolve(refusal!);
+          }, timeoutMs);
+    const resolve = (result: Result<Buffer>): void => {
+      clearTimeout(timer);
+      resolvePromise(result);
+    };
+    const refuse = (result: Result<Buffer>): void => {
+      refusal ??= result;
+      chunks = [];
+    };
     req.on('data', (chunk: Buffer) => {
       size += chunk.length;
-      if (size <= maxBytes) chunks.push(chunk);
-      if (size > maxBytes + MAX_DISCARDED_BYTES) resolve(tooLarge);
+      if (size > maxBytes) refuse(tooLarge);
+      else if (!refusal && !takeBytes(chunk.length))
+        refuse(fail(new VmuxError(ErrorCodes.Overloaded)));
+      if (!refusal) chunks.push(chunk);
+      else if (size > maxBytes + MAX_DISCARDED_BYTES) resolve(refusal);
     });
-    req.on('end', () =>
-      resolve(size > maxBytes ? tooLarge : succeed(Buffer.concat(chunks))),
-    );
+    req.on('end', () => resolve(refusal ?? succeed(Buffer.concat(chunks))));
     const onDisconnect = (): void =>
       resolve(fail(new VmuxError(ErrorCodes.Cancelled)));
     req.on('error', onDisconnect);
