fix(control): a deregistration counts at a control host that does not know the server

Cause: BackendRegistry.deregister returned without effect, and the API answered 200.

The end of an incarnation is reported as a fact whoever hears it, in a form that the build before reads.

--- a/packages/control/__tests__/backend_registry.test.ts
+++ b/packages/control/__tests__/backend_registry.test.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {PresenceState, type Presence} from '@vanillamux/protocol';
+import {
+  PresenceState,
+  presenceSchema,
+  type Presence,
+} from '@vanillamux/protocol';
 import {BackendRegistry} from '../src/index.js';
 
 const HEARTBEAT_MS = 1_000;
@@ -88,6 +92,21 @@
     });
   }
 
+  it('passes on the deregistration of a backend server that it does not know', () => {
+    const {registry} = createRegistry();
+    assert.ok(registry.deregister('a', 10));
+    const [report] = registry.changesSince('', 0).reports;
+    assert.equal(report?.state, PresenceState.Gone);
+    assert.equal(report?.incarnation, 10);
+    assert.ok(presenceSchema.safeParse(report).success);
+  });
+
+  it('does not acknowledge a deregistration that names nothing known', () => {
+    const {registry} = createRegistry();
+    assert.equal(registry.deregister('a'), false);
+    assert.equal(registry.changesSince('', 0).reports.length, 0);
+  });
+
   const SILENCE_CASES = [
     {heartbeats: 3, state: PresenceState.Ready},
     {heartbeats: 5, state: PresenceState.Silent},
--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -18,6 +18,16 @@
 /** Silence in heartbeats after which an unchanged report counts as a change. */
 const REFRESH_AFTER_HEARTBEATS = 2;
 
+/** Stands for what is not known of a backend server that has left. */
+const UNKNOWN_PRESENCE: Omit<Presence, 'id' | 'incarnation'> = {
+  sequence: 0,
+  state: PresenceState.Gone,
+  service: 'unknown',
+  address: {host: '0.0.0.0', port: 1},
+  failureDomain: '',
+  capacity: 0,
+};
+
 const log = getLogger('backends');
 
 /** Options of a `BackendRegistry`. */
@@ -79,13 +89,20 @@
   }
 
   /**
-   * Marks a backend server as gone at its own request. A request of an earlier
-   * incarnation than the known one is ignored.
+   * Marks an incarnation as gone at its own request, also one that reports to
+   * another control host. Returns false if it is not known which one is meant.
    */
-  deregister(id: string, incarnation?: number): void {
+  deregister(id: string, incarnation?: number): boolean {
     const known = this.presenceTable.get(id);
-    if (!known || (incarnation ?? Infinity) < known.incarnation) return;
-    this.appendChanges(this.presenceTable.apply(endIncarnation(known)));
+    const ended = incarnation ?? known?.incarnation;
+    if (ended === undefined) return false;
+    if (known && ended < known.incarnation) return true;
+    const report =
+      known?.incarnation === ended
+        ? known
+        : {...UNKNOWN_PRESENCE, id, incarnation: ended};
+    this.appendChanges(this.presenceTable.apply(endIncarnation(report)));
+    return true;
   }
 
   /**
--- a/packages/gateway/__tests__/control_host_reports.test.ts
+++ b/packages/gateway/__tests__/control_host_reports.test.ts
@@ -238,6 +238,24 @@
     },
     expected: Gone,
   },
+  {
+    name: 'is gone when it deregisters where it is not known',
+    play: scene => {
+      scene.deregister('b');
+      scene.advance(HEARTBEAT_MS);
+    },
+    expected: Gone,
+  },
+  {
+    name: 'stays gone when a late heartbeat follows its deregistration',
+    play: scene => {
+      scene.deregister('b');
+      scene.advance(HEARTBEAT_MS);
+      scene.beat('a');
+      scene.advance(HEARTBEAT_MS);
+    },
+    expected: Gone,
+  },
   {
     name: 'drains when its former control host no longer hears it',
     play: scene => {
@@ -309,6 +327,14 @@
     assert.equal(scene.earlierTable.get(ID)?.state, Ready);
   });
 
+  it('is gone for an entry host of an earlier version when it deregisters where it is not known', () => {
+    const scene = new Scene();
+    scene.advance(2 * HEARTBEAT_MS);
+    scene.deregister('b');
+    scene.advance(HEARTBEAT_MS);
+    assert.equal(scene.earlierTable.get(ID)?.state, Gone);
+  });
+
   it('leaves nothing behind when many incarnations end without a word', () => {
     const scene = new Scene();
     for (let count = 0; count < 5; count++) {
