fix(gateway): a whole response without a length is not given one

Cause: since a response that the backend server ends by closing the connection had a length of its own. A server that crashes closes in the same way, so its part was taken for the whole.

--- a/packages/gateway/src/request/response_writer.ts
+++ b/packages/gateway/src/request/response_writer.ts
@@ -1,6 +1,7 @@
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import type {ResponseHead} from '../connection/response_head.js';
+import {isFramed} from '../connection/is_framed.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 
 /** Time in which a client may read what was written before an abort. */
@@ -25,13 +26,26 @@
     return this.res.headersSent;
   }
 
-  /** Writes a complete response. */
+  /**
+   * Writes a response that was received to its end. One that only the end of the
+   * backend server's connection delimits stays so: a crashed server's connection
+   * ends in the plain way, and a length would make its part look complete.
+   */
   writeComplete(head: ResponseHead, body: Buffer): void {
     const headers = endToEndHeaders(head.rawHeaders);
     const hasBody =
       this.res.req.method !== 'HEAD' && !BODILESS_STATUSES.has(head.status);
-    if (hasBody) headers.push('Content-Length', String(body.length));
-    this.res.writeHead(head.status, this.addConnectionHeader(headers, true));
+    const isDelimited = !hasBody || isFramed(head);
+    if (hasBody && isDelimited)
+      headers.push('Content-Length', String(body.length));
+    if (!isDelimited) {
+      this.res.removeHeader('Transfer-Encoding');
+      this.res.shouldKeepAlive = false;
+    }
+    this.res.writeHead(
+      head.status,
+      this.addConnectionHeader(headers, isDelimited),
+    );
     this.res.end(body);
   }
 
