feat: an operator empties a failure domain and takes it back

What callers saw: both orders to empty a domain were answered 404. Cause: nothing of the kind existed. Change: an evacuate command in the replicated state, proposed only while every member says that it knows it; a revision that entry hosts never go back from, told by control hosts and by peers; servers of emptied domains are no candidates, and a service that has no others is refused at once.

--- a/packages/cli/src/render_timeline.ts
+++ b/packages/cli/src/render_timeline.ts
@@ -12,6 +12,7 @@
   [EventKind.LeaderLost]: '#7a3fa0',
   [EventKind.MemberChanged]: '#7a3fa0',
   [EventKind.Declared]: '#1f7a4d',
+  [EventKind.Evacuated]: '#c77700',
   [EventKind.InForce]: '#1f7a4d',
   [EventKind.Stale]: '#c77700',
   [EventKind.BackendLost]: '#c0302b',
--- a/packages/consensus/src/member_schema.ts
+++ b/packages/consensus/src/member_schema.ts
@@ -12,4 +12,9 @@
   failureDomain: z.string(),
   address: addressSchema,
   role: z.nativeEnum(MemberRole),
+  /**
+   * Level of the commands that its state machine knows. Members of earlier
+   * builds don't state it, and know those of level 0.
+   */
+  commandLevel: z.number().int().min(0).optional(),
 });
--- a/packages/control/src/command_kind.ts
+++ b/packages/control/src/command_kind.ts
@@ -6,4 +6,5 @@
   Expire = 'expire',
   Fence = 'fence',
   Publish = 'publish',
+  Evacuate = 'evacuate',
 }
--- a/packages/control/src/command_schema.ts
+++ b/packages/control/src/command_schema.ts
@@ -1,6 +1,7 @@
-import {declarationsSchema} from '@vanillamux/protocol';
+import {declarationsSchema, emptiedDomainSchema} from '@vanillamux/protocol';
 import {z} from 'zod';
 import {CommandKind} from './command_kind.js';
+import {EvacuationAction} from './evacuation_action.js';
 import {SettleOutcome} from './settle_outcome.js';
 import {storedResponseSchema} from './stored_response_schema.js';
 
@@ -64,6 +65,15 @@
   atMs,
 });
 
+const evacuateSchema = z.object({
+  kind: z.literal(CommandKind.Evacuate),
+  failureDomain: emptiedDomainSchema,
+  action: z.nativeEnum(EvacuationAction),
+  /** Revision that the order was based on; void after any later change. */
+  expectedRevision: z.number().int().min(0),
+  atMs,
+});
+
 /** Schemas of the commands in the replicated log. */
 export const commandSchemas = {
   declare: declareSchema,
@@ -72,4 +82,5 @@
   expire: expireSchema,
   fence: fenceSchema,
   publish: publishSchema,
+  evacuate: evacuateSchema,
 };
--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -19,6 +19,9 @@
 /** Replaces the published document if the version is higher. */
 export type PublishCommand = z.infer<typeof commandSchemas.publish>;
 
+/** Empties a failure domain, or takes it back. */
+export type EvacuateCommand = z.infer<typeof commandSchemas.evacuate>;
+
 /** Any command in the replicated log. */
 export type Command =
   | DeclareCommand
@@ -26,4 +29,5 @@
   | SettleCommand
   | ExpireCommand
   | FenceCommand
-  | PublishCommand;
+  | PublishCommand
+  | EvacuateCommand;
--- a/packages/control/src/control_host.ts
+++ b/packages/control/src/control_host.ts
@@ -19,6 +19,7 @@
 } from '@vanillamux/shared';
 import {NodeDisk} from '@vanillamux/storage';
 import {join} from 'node:path';
+import {CommandLevel} from './command_level.js';
 import {ControlState} from './control_state.js';
 import type {ControlSettings} from './control_settings.js';
 import type {FormationStatus} from './formation_status.js';
@@ -84,6 +85,7 @@
       failureDomain: settings.failureDomain,
       address: settings.advertise ?? settings.listen,
       role: MemberRole.Voter,
+      commandLevel: CommandLevel.Evacuate,
     };
     const {log: raftLog, ballot} = recovered.value;
     log.info('Opened the data folder.', {
@@ -187,5 +189,12 @@
       .observe(version =>
         this.timeline.add(EventKind.Declared, `version ${version}`),
       );
+    const {evacuation} = this.stateMachine;
+    void evacuation.revisions.stream().observe(revision => {
+      const emptied = evacuation.view.failureDomains.join(', ') || 'none';
+      const detail = `revision ${revision}, emptied: ${emptied}`;
+      this.timeline.add(EventKind.Evacuated, detail);
+      log.info('The emptied failure domains changed.', {revision, emptied});
+    });
   }
 }
--- a/packages/control/src/control_router.ts
+++ b/packages/control/src/control_router.ts
@@ -3,6 +3,8 @@
 import type {ControlHost} from './control_host.js';
 import {createDeclarationsRouter} from './declarations_router.js';
 import type {EntryHostFeed} from './entry_host_feed.js';
+import {createEvacuationRouter} from './evacuation_router.js';
+import type {Evacuator} from './evacuator.js';
 import {createFeedRouter} from './feed_router.js';
 import {createGroupRouter} from './group_router.js';
 import type {MembershipManager} from './membership_manager.js';
@@ -16,13 +18,14 @@
   readonly host: ControlHost;
   readonly membershipManager: MembershipManager;
   readonly publisher: Publisher;
+  readonly evacuator: Evacuator;
   readonly feed: EntryHostFeed;
 }
 
 /** Creates the RPC router of a control host. */
 // eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types -- tRPC infers the type that clients share
 export function createControlRouter(dependencies: ControlRouterDependencies) {
-  const {host, membershipManager, publisher, feed} = dependencies;
+  const {host, membershipManager, publisher, evacuator, feed} = dependencies;
   return rpcBuilder.router({
     raft: createRaftRouter(() => host.node),
     declarations: createDeclarationsRouter(host),
@@ -30,6 +33,7 @@
     record: createRecordRouter(host),
     group: createGroupRouter(host, membershipManager),
     publication: createPublicationRouter(publisher),
+    evacuation: createEvacuationRouter(evacuator),
     feed: createFeedRouter(host, feed),
   });
 }
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -16,8 +16,10 @@
 import {createControlRouter} from './control_router.js';
 import type {ControlSettings} from './control_settings.js';
 import {EntryHostFeed} from './entry_host_feed.js';
+import {Evacuator} from './evacuator.js';
 import {GroupJoiner} from './group_joiner.js';
 import {GroupLeaver} from './group_leaver.js';
+import {LeaderCaller} from './leader_caller.js';
 import {MembershipManager} from './membership_manager.js';
 import {Publisher} from './publisher.js';
 import {ReservationExpirer} from './reservation_expirer.js';
@@ -37,6 +39,8 @@
     readonly host: ControlHost,
     private readonly membershipManager: MembershipManager,
     readonly publisher: Publisher,
+    readonly evacuator: Evacuator,
+    private readonly leaderCaller: LeaderCaller,
     readonly backends: BackendRegistry,
     private readonly httpServers: readonly Server[],
     private readonly closeRpc: () => void,
@@ -50,7 +54,9 @@
     if (!hostResult.ok) return hostResult;
     const host = hostResult.value;
     const membershipManager = new MembershipManager(host);
-    const publisher = new Publisher(host);
+    const leaderCaller = new LeaderCaller(host);
+    const publisher = new Publisher(host, leaderCaller);
+    const evacuator = new Evacuator(host, leaderCaller);
     const backends = new BackendRegistry(settings);
     const server = createHttpServer(host, backends);
     const feed = new EntryHostFeed(host, backends);
@@ -58,6 +64,7 @@
       host,
       membershipManager,
       publisher,
+      evacuator,
       feed,
     });
     const closeRpc = serveRpc(server, router);
@@ -81,6 +88,8 @@
       host,
       membershipManager,
       publisher,
+      evacuator,
+      leaderCaller,
       backends,
       httpServers,
       closeRpc,
@@ -104,7 +113,7 @@
     await new GroupLeaver(this.host, this.membershipManager).leave();
     this.stopping.abort();
     this.closeRpc();
-    this.publisher.close();
+    this.leaderCaller.close();
     for (const server of this.httpServers) {
       server.close();
       server.closeAllConnections();
@@ -179,6 +188,11 @@
       'Version of the published document; -1 before the first.',
       () => host.stateMachine.published.version,
     ],
+    [
+      'vmux_control_emptied_domains',
+      'Failure domains that operators have emptied.',
+      () => host.stateMachine.evacuation.view.failureDomains.length,
+    ],
     [
       'vmux_control_is_leader',
       '1 on the leader of the group.',
--- a/packages/control/src/control_state.ts
+++ b/packages/control/src/control_state.ts
@@ -1,9 +1,10 @@
 import {StateMachine} from '@vanillamux/consensus';
-import type {PublishedDocument} from '@vanillamux/protocol';
+import type {EvacuationView, PublishedDocument} from '@vanillamux/protocol';
 import {EventBus} from '@vanillamux/shared';
 import {CommandKind} from './command_kind.js';
 import type {Command} from './commands.js';
 import {DeclaredState, type DeclaredSnapshot} from './declared_state.js';
+import {EvacuationState} from './evacuation_state.js';
 import {FencingRegistry, type FenceGrant} from './fencing_registry.js';
 import {PublishedState} from './published_state.js';
 import {ReservationRegistry} from './reservation_registry.js';
@@ -14,16 +15,19 @@
   readonly reservations: Reservation[];
   readonly grants: FenceGrant[];
   readonly published?: PublishedDocument;
+  /** Absent before the first order, and in snapshots of earlier builds. */
+  readonly evacuation?: EvacuationView;
   readonly atMs: number;
 }
 
 /**
- * State machine of the control group: declarations, published document,
- * at-most-once reservations and fencing numbers.
+ * State machine of the control group: declarations, published document, emptied
+ * failure domains, at-most-once reservations and fencing numbers.
  */
 export class ControlState extends StateMachine {
   readonly declared = new DeclaredState();
   readonly published = new PublishedState();
+  readonly evacuation = new EvacuationState();
   readonly reservations = new ReservationRegistry();
   readonly fencing = new FencingRegistry();
   /** Emits the version whenever new declarations take effect. */
@@ -44,6 +48,7 @@
       reservations: this.reservations.list(),
       grants: this.fencing.list(),
       published: this.published.current,
+      evacuation: this.evacuation.save(),
       atMs: this.latestCommandMs,
     };
     return JSON.stringify(snapshot);
@@ -56,6 +61,7 @@
     this.reservations.load(snapshot.reservations);
     this.fencing.load(snapshot.grants);
     this.published.load(snapshot.published);
+    this.evacuation.load(snapshot.evacuation);
     this.latestCommandMs = snapshot.atMs;
     this.declaredVersions.emit(this.declared.current.version);
   }
@@ -77,6 +83,8 @@
         return this.fencing.grant(command);
       case CommandKind.Publish:
         return this.published.publish(command);
+      case CommandKind.Evacuate:
+        return this.evacuation.order(command);
     }
   }
 }
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -30,7 +30,11 @@
     private readonly host: ControlHost,
     private readonly registry: BackendRegistry,
   ) {
-    void host.stateMachine.published.versions.stream().observe(() => {
+    const {published, evacuation} = host.stateMachine;
+    const changes = published.versions
+      .stream()
+      .merge(evacuation.revisions.stream());
+    void changes.observe(() => {
       this.versionDeferred.resolve();
       this.versionDeferred = new Deferred<void>();
     });
@@ -55,6 +59,7 @@
     return {
       ...this.registry.changesSince(request.registryId, request.position),
       version: this.host.stateMachine.published.version,
+      evacuation: this.host.stateMachine.evacuation.save(),
       isCurrent:
         status.isCurrent && status.leaderSilentMs < MAX_LEADER_SILENCE_MS,
       control: status.members.map(({address, failureDomain}) => ({
@@ -65,12 +70,18 @@
     };
   }
 
-  private hasUpdate({registryId, position, version}: FeedRequest): boolean {
+  private hasUpdate({
+    registryId,
+    position,
+    version,
+    evacuationRevision = Infinity,
+  }: FeedRequest): boolean {
     const update = this.registry.changesSince(registryId, position);
     return (
       update.registryId !== registryId ||
       update.reports.length > 0 ||
-      this.host.stateMachine.published.version > version
+      this.host.stateMachine.published.version > version ||
+      this.host.stateMachine.evacuation.view.revision > evacuationRevision
     );
   }
 
--- /dev/null
+++ b/packages/control/src/evacuator.ts
@@ -0,0 +1,72 @@
+import {RaftRole} from '@vanillamux/consensus';
+import type {EvacuationView} from '@vanillamux/protocol';
+import {succeed, type Result} from '@vanillamux/shared';
+import {CommandKind} from './command_kind.js';
+import {CommandLevel} from './command_level.js';
+import type {EvacuateCommand} from './commands.js';
+import type {ControlHost} from './control_host.js';
+import type {EvacuationAnswer} from './evacuation_answer.js';
+import type {EvacuationOrder} from './evacuation_order.js';
+import {EvacuationVerdict} from './evacuation_verdict.js';
+import {GroupCommandLevel} from './group_command_level.js';
+import type {LeaderCaller} from './leader_caller.js';
+import {proposeCommand} from './propose_command.js';
+import type {RevisedOrder} from './revised_order.js';
+
+/** Tries of an order while others change the emptied failure domains. */
+const MAX_TRIES = 3;
+const CONFIRM_TIMEOUT_MS = 450;
+
+/**
+ * Empties failure domains and takes them back, on any control host. Hosts other
+ * than the leader forward the call to the leader.
+ */
+export class Evacuator {
+  private readonly commandLevel: GroupCommandLevel;
+
+  constructor(
+    private readonly host: ControlHost,
+    private readonly leader: LeaderCaller,
+  ) {
+    this.commandLevel = new GroupCommandLevel(host);
+  }
+
+  /**
+   * Carries out an order; resolves once a quorum has stored it durably. After
+   * an error it is unknown whether it is in force; repeating it is safe.
+   */
+  async order(order: EvacuationOrder): Promise<Result<EvacuationAnswer>> {
+    let expectedRevision = this.host.stateMachine.evacuation.view.revision;
+    for (let tries = 1; ; tries++) {
+      const revised = {...order, expectedRevision};
+      const result = await this.leader.run(
+        () => this.orderAsLeader(revised),
+        (api, signal) => api.evacuation.order.mutate(revised, {signal}),
+      );
+      const isOutdated =
+        result.ok && result.value.verdict === EvacuationVerdict.Outdated;
+      if (!isOutdated || tries === MAX_TRIES) return result;
+      expectedRevision = result.value.revision;
+    }
+  }
+
+  /** Carries out an order on this host, which must be the leader. */
+  async orderAsLeader(order: RevisedOrder): Promise<Result<EvacuationAnswer>> {
+    const {node} = this.host;
+    if (node.status().role === RaftRole.Leader) {
+      const required = await this.commandLevel.require(CommandLevel.Evacuate);
+      if (!required.ok) return required;
+    }
+    return proposeCommand<EvacuateCommand, EvacuationAnswer>(node, {
+      kind: CommandKind.Evacuate,
+      ...order,
+    });
+  }
+
+  /** Reads the state on this host, which must be the leader. */
+  async readAsLeader(): Promise<Result<EvacuationView>> {
+    const confirmed = await this.host.node.confirmByQuorum(CONFIRM_TIMEOUT_MS);
+    if (!confirmed.ok) return confirmed;
+    return succeed(this.host.stateMachine.evacuation.view);
+  }
+}
--- a/packages/control/src/feed_request.ts
+++ b/packages/control/src/feed_request.ts
@@ -9,5 +9,10 @@
   readonly position: number;
   /** Version of the published document that the entry host has; -1 for none. */
   readonly version: number;
+  /**
+   * Revision of the emptied failure domains that the entry host has. Those of
+   * earlier builds leave it out, and are not told of a change.
+   */
+  readonly evacuationRevision?: number;
   readonly waitMs: number;
 }
--- a/packages/control/src/feed_update.ts
+++ b/packages/control/src/feed_update.ts
@@ -1,4 +1,4 @@
-import type {EntryPeer} from '@vanillamux/protocol';
+import type {EntryPeer, EvacuationView} from '@vanillamux/protocol';
 import type {RegistryUpdate} from './backend_registry.js';
 import type {ControlEndpoint} from './control_endpoint.js';
 
@@ -6,6 +6,11 @@
 export interface FeedUpdate extends RegistryUpdate {
   /** Version of the published document on this control host. */
   readonly version: number;
+  /**
+   * Emptied failure domains; absent before the first order, and from control
+   * hosts of earlier builds.
+   */
+  readonly evacuation?: EvacuationView;
   /** Whether this control host follows a leader that has a quorum. */
   readonly isCurrent: boolean;
   /** Members of the control group. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -14,9 +14,11 @@
   type RegistryUpdate,
 } from './backend_registry.js';
 export {CommandKind} from './command_kind.js';
+export {CommandLevel} from './command_level.js';
 export {
   type Command,
   type DeclareCommand,
+  type EvacuateCommand,
   type ExpireCommand,
   type FenceCommand,
   type ReserveCommand,
@@ -32,6 +34,12 @@
 export {ControlState} from './control_state.js';
 export {type ControlEndpoint} from './control_endpoint.js';
 export {EntryHostFeed} from './entry_host_feed.js';
+export {EvacuationAction} from './evacuation_action.js';
+export {type EvacuationAnswer} from './evacuation_answer.js';
+export {type EvacuationOrder} from './evacuation_order.js';
+export {EvacuationState} from './evacuation_state.js';
+export {EvacuationVerdict} from './evacuation_verdict.js';
+export {Evacuator} from './evacuator.js';
 export {type FeedUpdate} from './feed_update.js';
 export {type FeedRequest} from './feed_request.js';
 export {type PublishAnswer} from './publish_answer.js';
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -201,12 +201,13 @@
     reason: string,
   ): Promise<Result<void>> {
     const plainMembers = members.map(
-      ({id, hostId, failureDomain, address, role}) => ({
+      ({id, hostId, failureDomain, address, role, commandLevel}) => ({
         id,
         hostId,
         failureDomain,
         address,
         role,
+        commandLevel,
       }),
     );
     const result = await this.host.node.changeMembers(plainMembers);
--- a/packages/control/src/publisher.ts
+++ b/packages/control/src/publisher.ts
@@ -1,36 +1,23 @@
-import {RaftRole} from '@vanillamux/consensus';
 import type {PublishedDocument} from '@vanillamux/protocol';
-import {
-  ErrorCodes,
-  fail,
-  monotonicMs,
-  sleep,
-  succeed,
-  VmuxError,
-  type Result,
-} from '@vanillamux/shared';
+import {succeed, type Result} from '@vanillamux/shared';
 import {CommandKind} from './command_kind.js';
 import type {PublishCommand} from './commands.js';
 import type {ControlHost} from './control_host.js';
-import {PeerClients} from './peer_clients.js';
+import type {LeaderCaller} from './leader_caller.js';
 import {proposeCommand} from './propose_command.js';
 import type {PublishAnswer} from './publish_answer.js';
 
-/** Shorter than the 1 s after which an operator's call tries another host. */
-const TOTAL_TIMEOUT_MS = 900;
-const ATTEMPT_TIMEOUT_MS = 450;
-const RETRY_DELAY_MS = 40;
+const CONFIRM_TIMEOUT_MS = 450;
 
 /**
  * Publishes and reads the document with the highest version on any control
  * host. Hosts other than the leader forward the call to the leader.
  */
 export class Publisher {
-  private readonly peerClients: PeerClients;
-
-  constructor(private readonly host: ControlHost) {
-    this.peerClients = new PeerClients(host.settings.id);
-  }
+  constructor(
+    private readonly host: ControlHost,
+    private readonly leader: LeaderCaller,
+  ) {}
 
   /**
    * Publishes a document; resolves once a quorum has stored it durably. After
@@ -38,25 +25,17 @@
    * same document again is safe.
    */
   publish(document: PublishedDocument): Promise<Result<PublishAnswer>> {
-    return this.runOnLeader(
+    return this.leader.run(
       () => this.publishAsLeader(document),
-      client =>
-        client.call(
-          (api, signal) => api.publication.publish.mutate(document, {signal}),
-          ATTEMPT_TIMEOUT_MS,
-        ),
+      (api, signal) => api.publication.publish.mutate(document, {signal}),
     );
   }
 
   /** Reads the newest document. Fails unless a quorum confirms the leader. */
   read(): Promise<Result<PublishedDocument | undefined>> {
-    return this.runOnLeader(
+    return this.leader.run(
       () => this.readAsLeader(),
-      client =>
-        client.call(
-          (api, signal) => api.publication.read.query(undefined, {signal}),
-          ATTEMPT_TIMEOUT_MS,
-        ),
+      (api, signal) => api.publication.read.query(undefined, {signal}),
     );
   }
 
@@ -70,58 +49,8 @@
 
   /** Reads on this host, which must be the leader. */
   async readAsLeader(): Promise<Result<PublishedDocument | undefined>> {
-    const confirmed = await this.host.node.confirmByQuorum(ATTEMPT_TIMEOUT_MS);
+    const confirmed = await this.host.node.confirmByQuorum(CONFIRM_TIMEOUT_MS);
     if (!confirmed.ok) return confirmed;
     return succeed(this.host.stateMachine.published.current);
   }
-
-  /** Closes the connections to other control hosts. */
-  close(): void {
-    this.peerClients.close();
-  }
-
-  private async runOnLeader<T>(
-    runLocally: () => Promise<Result<T>>,
-    callLeader: (client: ReturnType<PeerClients['get']>) => Promise<Result<T>>,
-  ): Promise<Result<T>> {
-    const deadlineMs = monotonicMs() + TOTAL_TIMEOUT_MS;
-    let lastResult: Result<T> = fail(new VmuxError(ErrorCodes.NoQuorum));
-    while (monotonicMs() < deadlineMs) {
-      const {role, leaderId, members} = this.host.node.status();
-      const leader = members.find(({id}) => id === leaderId);
-      if (role === RaftRole.Leader) {
-        lastResult = await withTimeout(
-          runLocally(),
-          deadlineMs - monotonicMs(),
-        );
-      } else if (leader) {
-        lastResult = await callLeader(this.peerClients.get(leader.address));
-      }
-      if (lastResult.ok || !isRetryable(lastResult.error)) return lastResult;
-      await sleep(RETRY_DELAY_MS);
-    }
-    return lastResult;
-  }
-}
-
-async function withTimeout<T>(
-  operation: Promise<Result<T>>,
-  timeoutMs: number,
-): Promise<Result<T>> {
-  const timer = new AbortController();
-  const timedOut = sleep(timeoutMs, timer.signal).then(() =>
-    fail(new VmuxError(ErrorCodes.NoQuorum)),
-  );
-  const result = await Promise.race([operation, timedOut]);
-  timer.abort();
-  return result;
-}
-
-function isRetryable({code}: VmuxError): boolean {
-  return (
-    code === ErrorCodes.NoQuorum ||
-    code === ErrorCodes.NotLeader ||
-    code === ErrorCodes.Timeout ||
-    code === ErrorCodes.TransportFailed
-  );
 }
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -20,6 +20,7 @@
     quarantinedParts: () => 1,
     limitedBackends: () => 1,
     leavingBackends: () => 1,
+    emptiedDomains: () => 1,
     lostServices: () => 0,
     cutOffPeers: () => 0,
     quarantinedRequests: () => 1,
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -8,6 +8,7 @@
 import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
 import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
+import {EmptiedDomains} from '../src/evacuation/emptied_domains.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
 import {ByteBudget} from '../src/bytes/byte_budget.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
@@ -145,6 +146,8 @@
         recordResponse: () => undefined,
       },
       departures: new DepartureTable(),
+      emptied: new EmptiedDomains(),
+      isEmptied: () => false,
     },
     backendSignals: {learn: () => undefined},
     connections: createConnections(async () => succeed(chunks.shift())),
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -13,6 +13,7 @@
 import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
 import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
+import {EmptiedDomains} from '../src/evacuation/emptied_domains.js';
 import type {Backend} from '../src/fleet/backend.js';
 import type {ClientRequest} from '../src/request/client_request.js';
 import type {GatewayComponents} from '../src/request/gateway_components.js';
@@ -48,6 +49,8 @@
       candidates: () => backends,
       reachability: {isUnreachable: () => false},
       departures: new DepartureTable(),
+      emptied: new EmptiedDomains(),
+      isEmptied: () => false,
     },
     placements: {
       for: () => ({
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -7,6 +7,7 @@
 import {EventBus, getLogger, monotonicMs} from '@vanillamux/shared';
 import type {Stream} from 'most';
 import {DepartureTable} from '../departures/departure_table.js';
+import {EmptiedDomains} from '../evacuation/emptied_domains.js';
 import {Backend} from './backend.js';
 import {BackendLiveness} from './backend_liveness.js';
 import {DomainReachability} from './domain_reachability.js';
@@ -40,6 +41,8 @@
   readonly reachability = new DomainReachability();
   /** Backend servers that have said that they leave; no candidates. */
   readonly departures = new DepartureTable();
+  /** Failure domains whose backend servers are no candidates. */
+  readonly emptied = new EmptiedDomains();
   private readonly endedBus = new EventBus<Backend>();
   private readonly discoveredBus = new EventBus<string>();
   private checkedMs = -Infinity;
@@ -89,12 +92,21 @@
    * their connection to the control hosts.
    */
   candidates(service: string): Backend[] {
-    const all = [...(this.backendsByService.get(service) ?? [])].filter(
-      ({presence}) => !this.departures.has(presence),
+    const all = this.usable(service).filter(
+      ({presence}) => !this.emptied.has(presence),
     );
     const ready = all.filter(({isReady}) => isReady);
-    if (ready.length > 0) return ready;
-    return all.filter(({presence}) => presence.state === PresenceState.Silent);
+    return ready.length > 0 ? ready : all;
+  }
+
+  /** Whether a service has backend servers in emptied failure domains alone. */
+  isEmptied(service: string): boolean {
+    if (this.emptied.size === 0) return false;
+    const usable = this.usable(service);
+    return (
+      usable.length > 0 &&
+      usable.every(({presence}) => this.emptied.has(presence))
+    );
   }
 
   /** Returns the services that have had a backend server. */
@@ -112,6 +124,15 @@
     return [...this.backends.values()];
   }
 
+  /** Backend servers that are ready or silent and have not said that they leave. */
+  private usable(service: string): Backend[] {
+    return [...(this.backendsByService.get(service) ?? [])].filter(
+      ({isReady, presence}) =>
+        (isReady || presence.state === PresenceState.Silent) &&
+        !this.departures.has(presence),
+    );
+  }
+
   private applyReport(report: Presence, from: string): void {
     const {id, incarnation, state} = report;
     const isEnd = this.isEnd(report, from);
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -87,7 +87,14 @@
     const request = {entry, registryId, position, peersVersion, waitMs};
     const result = await this.client.call(
       (api, signal) =>
-        api.feed.wait.query({...request, version: listener.version}, {signal}),
+        api.feed.wait.query(
+          {
+            ...request,
+            version: listener.version,
+            evacuationRevision: listener.evacuationRevision,
+          },
+          {signal},
+        ),
       waitMs + POLL_TIMEOUT_MARGIN_MS,
     );
     if (this.stopping.signal.aborted) return false;
@@ -104,6 +111,8 @@
     this.registryId = registryId;
     this.position = update.position;
     this.peersVersion = update.peersVersion;
+    // Before the reports, which may name backend servers there.
+    if (update.evacuation) listener.onEvacuation(update.evacuation);
     listener.onReports({from, registryId, reports});
     if (update.version > listener.version) await this.fetchDocument();
     // Without this delay, a document that fails to decode would be fetched in
--- a/packages/gateway/src/link/link_listener.ts
+++ b/packages/gateway/src/link/link_listener.ts
@@ -1,4 +1,8 @@
-import type {EntryPeer, PublishedDocument} from '@vanillamux/protocol';
+import type {
+  EntryPeer,
+  EvacuationView,
+  PublishedDocument,
+} from '@vanillamux/protocol';
 import type {ReportBatch} from '../fleet/backend_pool.js';
 
 /** Receives updates from the control hosts. */
@@ -9,6 +13,9 @@
   abstract onControlHostLeft(host: string): void;
   /** Version of the configuration that this host has; -1 for none. */
   abstract get version(): number;
+  /** Revision of the emptied failure domains that this host knows. */
+  abstract get evacuationRevision(): number;
+  abstract onEvacuation(view: EvacuationView): void;
   abstract onDocument(document: PublishedDocument): void;
   /**
    * Called when the control host `from` has responded. `isCurrent` says whether
--- a/packages/gateway/src/peers/peer_facts.ts
+++ b/packages/gateway/src/peers/peer_facts.ts
@@ -1,14 +1,16 @@
+import type {EvacuationView} from '@vanillamux/protocol';
 import type {DepartureNotice} from '../departures/departure_notice.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
 import type {ReachNotice} from '../reach/reach_notice.js';
 import type {RequestLimitNotice} from '../request_limits/request_limit_notice.js';
 import type {SyncKind} from './sync_kind.js';
 
-/** Facts about backend servers and requests that hosts exchange. */
+/** Facts that hosts exchange about backend servers, requests and orders. */
 export interface PeerFacts {
   readonly quarantine?: QuarantineNotice;
   readonly limits?: RequestLimitNotice;
   readonly departures?: DepartureNotice;
   readonly reach?: ReachNotice;
+  readonly evacuation?: EvacuationView;
   readonly sync?: SyncKind;
 }
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -1,5 +1,5 @@
 import {createSocket, type Socket} from 'node:dgram';
-import type {EntryPeer} from '@vanillamux/protocol';
+import type {EntryPeer, EvacuationView} from '@vanillamux/protocol';
 import {
   ErrorCodes,
   EventBus,
@@ -49,6 +49,7 @@
   private readonly limitBus = new EventBus<ReceivedLimitNotice>();
   private readonly departureBus = new EventBus<DepartureNotice>();
   private readonly reachBus = new EventBus<ReceivedReachNotice>();
+  private readonly evacuationBus = new EventBus<EvacuationView>();
   private readonly syncBus = new EventBus<ReceivedSyncNotice>();
   private peers: readonly EntryPeer[] = [];
   /** Index of the next receiver of facts; hosts begin at different ones. */
@@ -179,6 +180,11 @@
     return this.reachBus.stream();
   }
 
+  /** Streams the notices of other hosts about emptied failure domains. */
+  evacuationNotices(): Stream<EvacuationView> {
+    return this.evacuationBus.stream();
+  }
+
   /** Streams the requests for facts and the replies of other hosts. */
   syncNotices(): Stream<ReceivedSyncNotice> {
     return this.syncBus.stream();
@@ -195,6 +201,7 @@
     limits,
     departures,
     reach,
+    evacuation,
     sync,
   }: PeerFacts): PlacementNotice {
     return {
@@ -212,6 +219,7 @@
       limits: limits && {facts: [], ...limits},
       departures,
       reach,
+      evacuation,
       sync,
     };
   }
@@ -250,6 +258,7 @@
     if (notice.departures) this.departureBus.emit(notice.departures);
     if (notice.reach)
       this.reachBus.emit({from: notice.from, notice: notice.reach});
+    if (notice.evacuation) this.evacuationBus.emit(notice.evacuation);
     // Emitted last, so that a reply has been applied.
     if (notice.sync) this.syncBus.emit({replyTo, kind: notice.sync});
     if (notice.relay) this.relay(notice);
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -1,3 +1,4 @@
+import {evacuationViewSchema} from '@vanillamux/protocol';
 import {z} from 'zod';
 import {departureNoticeSchema} from '../departures/departure_notice_schema.js';
 import {requestLimitNoticeSchema} from '../request_limits/request_limit_notice_schema.js';
@@ -36,6 +37,8 @@
   departures: departureNoticeSchema.optional(),
   /** Services that the sender does not reach. */
   reach: reachNoticeSchema.optional(),
+  /** Failure domains that an operator has emptied. */
+  evacuation: evacuationViewSchema.optional(),
   /** A request for what the receiver knows, or a reply to one. */
   sync: z.nativeEnum(SyncKind).optional(),
 });
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -83,16 +83,25 @@
 
   /**
    * Whether engines of a decision have said since it was made that they leave
-   * or want a pause.
+   * or want a pause, or an operator has emptied their failure domain.
    */
   isOutdated(decision: PlacementDecision, nowMs: number): boolean {
-    const {departures} = this.options.components.backends;
+    const {departures, emptied} = this.options.components.backends;
     return listEngines(decision).some(
       ({pause, presence}) =>
-        pause.remainingMs(nowMs) > 0 || departures.has(presence),
+        pause.remainingMs(nowMs) > 0 ||
+        departures.has(presence) ||
+        // An entry host relays wherever it is itself.
+        (!decision.isRelay && emptied.has(presence)),
     );
   }
 
+  /** Whether the service has backend servers in emptied domains alone. */
+  get isServiceEmptied(): boolean {
+    const {components, service} = this.options;
+    return components.backends.isEmptied(service);
+  }
+
   /** Returns the engines of a decision that require a permit. */
   limitedEngines(decision: PlacementDecision): Backend[] {
     return [...this.limitedOf(listEngines(decision))];
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -1,5 +1,6 @@
 import {monotonicMs, RunState, sleep} from '@vanillamux/shared';
 import {isRetryable} from '../config/is_retryable.js';
+import {emptiedRetryAfterMs} from '../evacuation/emptied_retry_after_ms.js';
 import type {MemoryReservation} from '../memory/memory_reservation.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import type {WatchedAttempt} from '../quarantine/watched_attempt.js';
@@ -153,6 +154,10 @@
     const {signal} = this.request;
     while (!signal.aborted) {
       if (!this.mayStartAttempt) return 'no further attempt is allowed';
+      if (this.candidates.isServiceEmptied) {
+        this.retryAfterMs = emptiedRetryAfterMs();
+        return 'every failure domain of the service is emptied';
+      }
       const {requestId, sharedParts = []} = this.request.metadata;
       const refusal = this.components.quarantine.check(requestId, [
         this.suspect,
@@ -383,7 +388,7 @@
     const outcome = AttemptOutcome.NotSent;
     if (!reservations) return {outcome, reason: 'no memory for the context'};
     if (this.candidates.isOutdated(attempt.decision, monotonicMs()))
-      return {outcome, reason: 'an engine leaves or wants a pause'};
+      return {outcome, reason: 'an engine leaves, is emptied or wants a pause'};
     return this.sendRequest(attempt, reservations, claim);
   }
 
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,6 +1,10 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {Recorder} from '@vanillamux/control';
-import type {EntryPeer, PublishedDocument} from '@vanillamux/protocol';
+import type {
+  EntryPeer,
+  EvacuationView,
+  PublishedDocument,
+} from '@vanillamux/protocol';
 import {
   getLogger,
   HybridClock,
@@ -17,6 +21,7 @@
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {DepartureManager} from '../departures/departure_manager.js';
+import {EvacuationManager} from '../evacuation/evacuation_manager.js';
 import {BackendPool, type ReportBatch} from '../fleet/backend_pool.js';
 import {BackendSignals} from '../fleet/backend_signals.js';
 import {ConfigStore} from '../link/config_store.js';
@@ -112,6 +117,7 @@
   private readonly quarantine: QuarantineManager;
   private readonly requestLimits: RequestLimitManager;
   private readonly departures: DepartureManager;
+  private readonly evacuation: EvacuationManager;
   private readonly reach = new ServiceReach();
   private readonly peerReach: PeerReach;
   private readonly factSync: FactSync;
@@ -175,6 +181,10 @@
       notices: this.notices,
       backends: this.backends,
     });
+    this.evacuation = new EvacuationManager({
+      notices: this.notices,
+      emptied: this.backends.emptied,
+    });
     this.peerReach = new PeerReach({
       notices: this.notices,
       reach: this.reach,
@@ -200,6 +210,7 @@
         this.quarantine,
         this.requestLimits,
         this.departures,
+        this.evacuation,
         this.peerReach,
       ],
     });
@@ -265,6 +276,14 @@
     return this.config.version;
   }
 
+  get evacuationRevision(): number {
+    return this.backends.emptied.revision;
+  }
+
+  onEvacuation(view: EvacuationView): void {
+    this.evacuation.learn(view, 'control');
+  }
+
   onReports(batch: ReportBatch): void {
     this.backends.apply(batch);
   }
@@ -400,6 +419,7 @@
       quarantinedRequests: () => this.quarantine.requestCount,
       limitedBackends: () => this.requestLimits.size,
       leavingBackends: () => this.backends.departures.size,
+      emptiedDomains: () => this.backends.emptied.size,
       lostServices: () => this.reach.lostServices().length,
       cutOffPeers: () => this.peerReach.size,
       controlHosts: () => this.links.hosts().length,
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -16,6 +16,8 @@
   limitedBackends(): number;
   /** Backend servers that have said that they leave. */
   leavingBackends(): number;
+  /** Failure domains that an operator has emptied. */
+  emptiedDomains(): number;
   /** Services that the host seems to be cut off from. */
   lostServices(): number;
   /** Entry hosts that have said, or shown, that they are cut off from a service. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -149,6 +149,11 @@
         'Backend servers that have said that they leave.',
         () => gauges.leavingBackends(),
       ],
+      [
+        'vmux_gateway_emptied_domains',
+        'Failure domains that an operator has emptied.',
+        () => gauges.emptiedDomains(),
+      ],
       [
         'vmux_gateway_lost_services',
         'Services none of whose backend servers this host reaches.',
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -13,9 +13,12 @@
 } from './declarations.js';
 export {declarationsSchema} from './declarations_schema.js';
 export {type DeclaredVersion} from './declared_version.js';
+export {emptiedDomainSchema} from './emptied_domain_schema.js';
 export {type EntryPeer} from './entry_peer.js';
 export {entryPeerSchema} from './entry_peer_schema.js';
 export {estimateTokens} from './estimate_tokens.js';
+export {type EvacuationView} from './evacuation_view.js';
+export {evacuationViewSchema} from './evacuation_view_schema.js';
 export {type Frame} from './frame.js';
 export {FrameKind} from './frame_kind.js';
 export {frameSchema} from './frame_schema.js';
@@ -28,6 +31,7 @@
   type RecordEntry,
 } from './record_entry.js';
 export {recordEntrySchema} from './record_entry_schema.js';
+export {MAX_EMPTIED_DOMAINS} from './max_emptied_domains.js';
 export {type Presence} from './presence.js';
 export {presenceSchema} from './presence_schema.js';
 export {PresenceState} from './presence_state.js';
--- a/packages/shared/src/event_kind.ts
+++ b/packages/shared/src/event_kind.ts
@@ -6,6 +6,7 @@
   LeaderLost = 'leader_lost',
   MemberChanged = 'member_changed',
   Declared = 'declared',
+  Evacuated = 'evacuated',
   InForce = 'in_force',
   Stale = 'stale',
   BackendJoined = 'backend_joined',
