--- a/packages/engine/__tests__/virtual_engine.test.ts
+++ b/packages/engine/__tests__/virtual_engine.test.ts
@@ -1,6 +1,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {VirtualClock, VirtualEngine, type VirtualWork} from '../src/index.js';
+import {
+  MAX_HELPER_ENTRIES,
+  VirtualClock,
+  VirtualEngine,
+  type VirtualWork,
+} from '../src/index.js';
 
 const SPEC = {
   batchSize: 2,
@@ -97,7 +102,7 @@
       contextTokens: 0,
       onPrefilled: () => {
         remoteShareMs = clock.nowMs;
-        ownWork.completeRemoteShare();
+        ownWork!.completeRemoteShare();
       },
     });
     clock.runUntilIdle();
@@ -115,12 +120,27 @@
     assert.equal(engine.reserve(100_000), true);
   });
 
+  for (const {helperEntries, isTaken} of [
+    {helperEntries: MAX_HELPER_ENTRIES, isTaken: true},
+    {helperEntries: MAX_HELPER_ENTRIES + 1, isTaken: false},
+  ]) {
+    it(`${isTaken ? 'takes' : 'rejects'} a request with ${helperEntries} helper entries`, () => {
+      const clock = new VirtualClock();
+      const engine = new VirtualEngine(SPEC, clock);
+      let events = 0;
+      const work = {...createWork(5_000, 1, () => events++), helperEntries};
+      assert.equal(engine.submit(work) !== undefined, isTaken);
+      clock.runUntilIdle();
+      assert.equal(events, isTaken ? 1 : 0);
+    });
+  }
+
   it('emits no event for cancelled work', () => {
     const clock = new VirtualClock();
     const engine = new VirtualEngine(SPEC, clock);
     let events = 0;
     const work = engine.submit(createWork(5_000, 3, () => events++));
-    clock.schedule(5, () => work.cancel());
+    clock.schedule(5, () => work!.cancel());
     clock.runUntilIdle();
     assert.equal(events, 0);
   });
--- a/packages/engine/src/virtual/virtual_engine.ts
+++ b/packages/engine/src/virtual/virtual_engine.ts
@@ -1,4 +1,5 @@
 import {prefillMs, stepMs, type EngineSpec} from '@vanillamux/gateway';
+import {MAX_HELPER_ENTRIES} from './max_helper_entries.js';
 import type {VirtualClock} from './virtual_clock.js';
 import type {VirtualWork} from './virtual_work.js';
 
@@ -74,9 +75,11 @@
 
   /**
    * Queues work. Prefill shares of other engines' prompts start at once: they
-   * don't count against the batch size.
+   * don't count against the batch size. Returns `undefined` for work with more
+   * helpers than the protocol allows.
    */
-  submit(work: VirtualWork): WorkHandle {
+  submit(work: VirtualWork): WorkHandle | undefined {
+    if ((work.helperEntries ?? 0) > MAX_HELPER_ENTRIES) return undefined;
     const scheduled: ScheduledWork = {
       work,
       isPrefillShare: work.outputTokens === 0,
--- a/packages/engine/src/virtual/virtual_work.ts
+++ b/packages/engine/src/virtual/virtual_work.ts
@@ -15,6 +15,11 @@
   readonly contextTokens: number;
   /** Prefill shares of the prompt that other engines process. */
   readonly remotePrefillShares: number;
+  /**
+   * Entries of the list of helpers: the engines of those shares, and this one
+   * if it has a reservation of its own.
+   */
+  readonly helperEntries?: number;
   /** Called when this engine has processed its prompt tokens. */
   readonly onPrefilled?: () => void;
   /**
--- a/packages/gateway/__tests__/config_store.test.ts
+++ b/packages/gateway/__tests__/config_store.test.ts
@@ -7,6 +7,8 @@
 
 /** Reads the version from the text; the other methods are not called. */
 class VersionDialect extends Dialect {
+  readonly maxHelperEntries = 0;
+
   readConfig(text: string): Result<GatewayConfig> {
     return succeed(createConfig({version: Number(text)}));
   }
--- a/packages/gateway/__tests__/engine_placement_policy.test.ts
+++ b/packages/gateway/__tests__/engine_placement_policy.test.ts
@@ -12,6 +12,7 @@
   readonly goalMs?: number;
   readonly nowMs?: number;
   readonly limited?: ReadonlySet<Backend>;
+  readonly maxHelperEntries?: number;
 }
 
 function place(
@@ -19,7 +20,7 @@
   options: PlaceOptions,
 ): PlacementDecision | undefined {
   const {promptTokens, answerTokens = 500, goalMs = 300, nowMs = 0} = options;
-  const {limited} = options;
+  const {limited, maxHelperEntries = 16} = options;
   return new EnginePlacementPolicy('fd-a', () => 0).place({
     service: {
       name: 'notes',
@@ -40,6 +41,7 @@
     },
     candidates: backends,
     limited,
+    maxHelperEntries,
     nowMs,
     waitedMs: 0,
   });
@@ -159,6 +161,40 @@
     });
   }
 
+  // Streams without a goal run on each engine, so that a split costs little and
+  // the longest prompts ask for as many engines as a plan may have.
+  const SHARE_TOKENS = 0.85 * ENGINE.memoryTokens;
+  for (const maxHelperEntries of [0, 1, 5, 15, 16, 17])
+    for (const reservations of [0, 2, 5, 15, 16, 17, 18])
+      for (const engines of [1, 2, 5, 15, 16, 17, 18, 24]) {
+        const isPossible = reservations <= Math.min(engines, maxHelperEntries);
+        const title = `${reservations} reservations, ${engines} engines and ${maxHelperEntries} entries`;
+        it(`${isPossible ? 'makes' : 'does not make'} a plan of ${title}`, () => {
+          const backends = createBackends(engines);
+          for (const {work} of backends) {
+            const stream = createWork({decodeMs: 60_000, lossIfLate: 0});
+            work.add('stream', stream, 0);
+            work.markPrefilled('stream', 0);
+          }
+          const decision = place(backends, {
+            promptTokens:
+              reservations > 0
+                ? Math.floor((reservations - 0.5) * SHARE_TOKENS)
+                : ENGINE.memoryTokens - 1_000,
+            goalMs: 1,
+            maxHelperEntries,
+          });
+          assert.equal(decision !== undefined, isPossible);
+          if (!decision) return;
+          assert.equal(decision.memory.length, reservations);
+          const ownEntries = reservations > 0 ? 1 : 0;
+          const entries = decision.helpers.length + ownEntries;
+          assert.ok(entries <= maxHelperEntries, `${entries} entries`);
+          if (engines > maxHelperEntries)
+            assert.equal(entries, maxHelperEntries);
+        });
+      }
+
   for (const {promptTokens, answerTokens, engines} of [
     {promptTokens: 0, answerTokens: 300_000, engines: 2},
     {promptTokens: 1_000, answerTokens: 400_000, engines: 3},
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -54,11 +54,13 @@
   metrics.countFailedAttempt('notes', AttemptOutcome.NotRun);
   metrics.countRetry('notes', false);
   metrics.countPermit(PermitVerdict.Denied);
+  metrics.countMalformedRequest('notes', 431);
   return metrics.render();
 }
 
 const LINES = [
   'vmux_gateway_permits_total{verdict="denied"} 1',
+  'vmux_gateway_malformed_requests_total{service="notes",status="431"} 1',
   'vmux_gateway_limited_backends 1',
   'vmux_gateway_quarantined_requests 1',
   'vmux_gateway_requests_total{sort="stream",end="delivered"} 1',
--- a/packages/gateway/src/dialect/dialect.ts
+++ b/packages/gateway/src/dialect/dialect.ts
@@ -13,6 +13,8 @@
  * and the types of the gateway. A dialect makes no decisions and has no state.
  */
 export abstract class Dialect {
+  /** Entries that the helpers of an `AttemptMetadata` may have. */
+  abstract readonly maxHelperEntries: number;
   /** Decodes a published configuration; an error names the invalid field. */
   abstract readConfig(text: string): Result<GatewayConfig>;
   abstract readRequest(headers: IncomingHttpHeaders): RequestMetadata;
--- a/packages/gateway/src/placement/engine_placement_policy.ts
+++ b/packages/gateway/src/placement/engine_placement_policy.ts
@@ -12,8 +12,8 @@
 import type {PlacementDecision} from './placement_decision.js';
 import type {PlacementRequest} from './placement_request.js';
 
-/** Engine counts that are compared; the engines' protocol allows at most 17. */
-const ENGINE_COUNTS = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17];
+/** Engine counts that are compared, beside the highest that can be expressed. */
+const ENGINE_COUNTS = [1, 2, 3, 4, 5, 6, 8, 10, 12, 14];
 /** Prefill time below which splitting a prompt is not considered. */
 const MIN_SPLIT_PREFILL_MS = 40;
 /**
@@ -39,7 +39,6 @@
 const NO_STREAMS_COST = 0.2;
 /** Maximum random cost; hosts with the same view then choose differently. */
 const MAX_JITTER_COST = 0.004;
-const MAX_ENGINES = ENGINE_COUNTS.at(-1)!;
 /** Iterations until the first event on an idle engine, at the most. */
 const IDLE_ITERATIONS = 1.5;
 /** Fraction of an engine's KV memory that one reservation may use. */
@@ -77,6 +76,7 @@
 
   place(request: PlacementRequest): PlacementDecision | undefined {
     const {service, metadata, candidates, limited, nowMs} = request;
+    const {maxHelperEntries} = request;
     const spec = service.engine;
     if (!spec || candidates.length === 0) return undefined;
     const costModels = candidates.map(
@@ -84,7 +84,7 @@
     );
     const contextTokens = metadata.promptTokens + metadata.maxOutputTokens;
     const shares = this.memoryShares(costModels, contextTokens, spec, limited);
-    if (!shares) return undefined;
+    if (!shares || shares.length > maxHelperEntries) return undefined;
     const plan = this.findBestPlan(request, spec, costModels, shares);
     const decodeBackend =
       shares[0]?.backend ??
@@ -131,9 +131,11 @@
       this.createPlan(request, costModels, reserved, totalPrefillMs, count);
     // The engines that reserve memory form a plan, however short the prompt is.
     const minCount = Math.max(1, reserved.length);
+    const maxCount = maxEngines(request, reserved.length > 0);
     let best = planFor(minCount);
     if (totalPrefillMs < MIN_SPLIT_PREFILL_MS) return best;
-    for (const count of ENGINE_COUNTS) {
+    const counts = ENGINE_COUNTS.filter(count => count < maxCount);
+    for (const count of [...counts, maxCount]) {
       if (count <= minCount || count > costModels.length) continue;
       const plan = planFor(count);
       if (plan.predictedLoss < best.predictedLoss) best = plan;
@@ -173,21 +175,27 @@
       engines,
       prefillShareMs,
       firstEventMs,
-      idleFirstEventMs: this.idleFirstEventMs(request, totalPrefillMs),
+      idleFirstEventMs: this.idleFirstEventMs(
+        request,
+        totalPrefillMs,
+        reserved.length > 0,
+      ),
       predictedLoss,
     };
   }
 
   /** Time to the first event if all candidates were idle and shared the prompt. */
   private idleFirstEventMs(
-    {service, metadata, candidates}: PlacementRequest,
+    request: PlacementRequest,
     totalPrefillMs: number,
+    reservesMemory: boolean,
   ): number {
+    const {service, metadata, candidates} = request;
     const spec = service.engine!;
     const engines =
       totalPrefillMs < MIN_SPLIT_PREFILL_MS
         ? 1
-        : Math.min(MAX_ENGINES, candidates.length);
+        : Math.min(maxEngines(request, reservesMemory), candidates.length);
     const iteration = iterationMs(spec, 1, metadata.promptTokens);
     return totalPrefillMs / engines + IDLE_ITERATIONS * iteration;
   }
@@ -298,3 +306,14 @@
     };
   }
 }
+
+/**
+ * Engines that a plan may have. The responding one is an entry of the list of
+ * helpers only if it reserves memory.
+ */
+function maxEngines(
+  {maxHelperEntries}: PlacementRequest,
+  reservesMemory: boolean,
+): number {
+  return reservesMemory ? maxHelperEntries : maxHelperEntries + 1;
+}
--- a/packages/gateway/src/placement/placement_request.ts
+++ b/packages/gateway/src/placement/placement_request.ts
@@ -15,6 +15,11 @@
    * of the backend server itself, so one that helps should respond instead.
    */
   readonly limited?: ReadonlySet<Backend>;
+  /**
+   * Entries that the list of helpers of a request may have. An engine with
+   * reserved memory is one of them, also the responding one.
+   */
+  readonly maxHelperEntries: number;
   readonly nowMs: number;
   /** Time since the request arrived. */
   readonly waitedMs: number;
--- a/packages/gateway/src/request/attempt_result.ts
+++ b/packages/gateway/src/request/attempt_result.ts
@@ -12,6 +12,11 @@
   readonly isDisconnected?: boolean;
   /** Helper that is at fault, rather than the backend server asked. */
   readonly faultyHelper?: Backend;
+  /**
+   * Helper entries of a request that the backend server rejected as this host
+   * has written it.
+   */
+  readonly rejectedHelperEntries?: number;
   /** Whether an entry host refused to relay, as it has lost the service too. */
   readonly hasLostService?: boolean;
   /** Id of an entry host that such a refusal names instead. */
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -1,4 +1,4 @@
-import {formatAddress, monotonicMs} from '@vanillamux/shared';
+import {formatAddress, getLogger, monotonicMs} from '@vanillamux/shared';
 import type {ExchangeRequest} from '../connection/exchange_request.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
@@ -14,6 +14,8 @@
 import {Destination} from './destination.js';
 import type {GatewayComponents} from './gateway_components.js';
 
+const log = getLogger('request');
+
 /** Options of a `BackendDestination`. */
 export interface BackendDestinationOptions {
   readonly components: GatewayComponents;
@@ -67,6 +69,8 @@
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
     this.learnRequestLimit(metadata);
     this.learnSignals(metadata);
+    if (metadata.verdict === ResponseVerdict.Malformed)
+      this.reportMalformed(status);
     return this.checkResponse(metadata);
   }
 
@@ -99,13 +103,27 @@
     return [...reservedHelpers, ...otherHelpers];
   }
 
+  /** Reports a request that is a fault of this program. */
+  private reportMalformed(status: number): void {
+    const {components, request, decision, reservations} = this.options;
+    const {service, id} = decision.backend.presence;
+    components.metrics.countMalformedRequest(service, status);
+    log.warn('A backend server rejected what this host has written.', {
+      request: request.metadata.requestId,
+      backend: id,
+      status,
+      helperEntries: this.listHelpers().length,
+      reservations: reservations.length,
+    });
+  }
+
   /** A refusal may omit the limit, and does not end one. */
   private learnRequestLimit({
     verdict,
     requestLimitPerS,
   }: ResponseMetadata): void {
-    const isRefusal = verdict === ResponseVerdict.NotRun;
-    if (verdict !== ResponseVerdict.Valid && !isRefusal) return;
+    if (!isOwnResponse(verdict)) return;
+    const isRefusal = verdict !== ResponseVerdict.Valid;
     if (isRefusal && requestLimitPerS === undefined) return;
     const {components, decision} = this.options;
     components.requestLimits.learn(
@@ -116,10 +134,7 @@
   }
 
   private learnSignals(metadata: ResponseMetadata): void {
-    const {verdict} = metadata;
-    const isOwn =
-      verdict === ResponseVerdict.Valid || verdict === ResponseVerdict.NotRun;
-    if (!isOwn) return;
+    if (!isOwnResponse(metadata.verdict)) return;
     const {components, decision, request} = this.options;
     const {requestId} = request.metadata;
     components.backendSignals.learn(decision.backend, metadata, requestId);
@@ -156,6 +171,12 @@
           outcome: AttemptOutcome.NotRun,
           reason: 'backend server refused',
         };
+      case ResponseVerdict.Malformed:
+        return {
+          outcome: AttemptOutcome.NotRun,
+          reason: 'backend server rejected what this host has written',
+          rejectedHelperEntries: this.listHelpers().length,
+        };
       case ResponseVerdict.Misdirected:
         failures.eject(monotonicMs());
         return {
@@ -171,3 +192,12 @@
     }
   }
 }
+
+/** Whether the backend server that was asked made the response. */
+function isOwnResponse(verdict: ResponseVerdict): boolean {
+  return (
+    verdict === ResponseVerdict.Valid ||
+    verdict === ResponseVerdict.NotRun ||
+    verdict === ResponseVerdict.Malformed
+  );
+}
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -3,6 +3,7 @@
 import {emptiedRetryAfterMs} from '../evacuation/emptied_retry_after_ms.js';
 import type {MemoryReservation} from '../memory/memory_reservation.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
+import {PlanLimit} from '../placement/plan_limit.js';
 import type {WatchedAttempt} from '../quarantine/watched_attempt.js';
 import {requestSuspect} from '../quarantine/request_suspect.js';
 import {AbortReason} from './abort_reason.js';
@@ -65,6 +66,7 @@
   private readonly reporter: RequestReporter;
   private readonly candidates: RequestCandidates;
   private readonly running = new RunningAttempts();
+  private readonly planLimit: PlanLimit;
   private attempts = 0;
   /** Attempts that have ended and that a backend server may have run. */
   private endedRuns = 0;
@@ -89,6 +91,7 @@
     this.writer = new ResponseWriter(request.res, components.isDraining);
     this.progress = {lastEventId: request.metadata.lastEventId, events: 0};
     this.reporter = new RequestReporter(components, request, this.progress);
+    this.planLimit = new PlanLimit(components.dialect.maxHelperEntries);
     this.candidates = new RequestCandidates({
       components,
       service: request.service.name,
@@ -240,6 +243,7 @@
       metadata,
       candidates,
       limited: this.candidates.limitedOf(candidates),
+      maxHelperEntries: this.planLimit.maxHelperEntries,
       nowMs,
       waitedMs: nowMs - request.startedMs,
     });
@@ -354,6 +358,10 @@
       this.candidates.exclude(result.faultyHelper);
       this.candidates.include(decision.backend);
     }
+    if (result.rejectedHelperEntries !== undefined) {
+      this.planLimit.recordRejection(result.rejectedHelperEntries);
+      this.candidates.include(decision.backend);
+    }
     const wasRejected =
       result.outcome === AttemptOutcome.NotSent ||
       result.outcome === AttemptOutcome.NotRun;
@@ -475,6 +483,7 @@
   /** Whether the route and the attempts so far allow another attempt. */
   private get mayStartAttempt(): boolean {
     if (this.rejections >= MAX_REJECTIONS) return false;
+    if (!this.planLimit.allowsAttempt) return false;
     if (this.possibleRuns === 0) return true;
     const {route} = this.request;
     return isRetryable(route) && this.possibleRuns < route.maxAttempts;
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -87,6 +87,12 @@
     labelNames: ['service'],
     registers: [this.registry],
   });
+  private readonly malformedRequests = new Counter({
+    name: 'vmux_gateway_malformed_requests_total',
+    help: 'Requests that backend servers rejected as this host wrote them, by service and status.',
+    labelNames: ['service', 'status'],
+    registers: [this.registry],
+  });
   private readonly relays = new Counter({
     name: 'vmux_gateway_relays_total',
     help: 'Requests that this host relayed to another entry host, or received from one.',
@@ -255,6 +261,11 @@
     this.backlogRefusals.inc({service});
   }
 
+  /** Counts a request that a backend server rejected as this host wrote it. */
+  countMalformedRequest(service: string, status: number): void {
+    this.malformedRequests.inc({service, status});
+  }
+
   /** Counts a pause that a backend server has asked for. */
   countPause(service: string): void {
     this.pauses.inc({service});
--- a/packages/load/src/day/day_simulation.ts
+++ b/packages/load/src/day/day_simulation.ts
@@ -8,7 +8,7 @@
   type PlacementDecision,
   type ServiceSpec,
 } from '@vanillamux/gateway';
-import {VirtualClock} from '@vanillamux/engine';
+import {MAX_HELPER_ENTRIES, VirtualClock} from '@vanillamux/engine';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import type {DayArrival} from './day_arrival.js';
@@ -136,6 +136,7 @@
         maxOutputTokens: arrival.answerTokens,
       },
       candidates: host.backends,
+      maxHelperEntries: MAX_HELPER_ENTRIES,
       nowMs: this.clock.nowMs,
       waitedMs: this.clock.nowMs - arrival.atMs,
     });
@@ -192,9 +193,11 @@
         this.forwardEvent({decision, claim, isLast, pauseMs}),
       );
     };
-    clock.schedule(engineDelayMs, () =>
-      engines.submit(arrival, decision, onEvent),
-    );
+    clock.schedule(engineDelayMs, () => {
+      if (engines.submit(arrival, decision, onEvent)) return;
+      engines.release(decision);
+      claim.release();
+    });
   }
 
   /** Handles an event at the entry host, which forwards it to the client. */
--- a/packages/load/src/day/virtual_engines.ts
+++ b/packages/load/src/day/virtual_engines.ts
@@ -40,12 +40,15 @@
     this.releaseAll(memory);
   }
 
-  /** Splits the prefill evenly over the engines; one engine generates. */
+  /**
+   * Splits the prefill evenly over the engines; one engine generates. Returns
+   * whether it has taken the request.
+   */
   submit(
     arrival: DayArrival,
     {backend, helpers, memory}: PlacementDecision,
     onEvent: EventListener,
-  ): void {
+  ): boolean {
     const shareCount = helpers.length + 1;
     const prefillShare = {
       promptTokens: Math.ceil(arrival.promptTokens / shareCount),
@@ -57,8 +60,10 @@
       // Reserved memory already covers the context.
       contextTokens: memory.length > 0 ? 0 : arrival.promptTokens,
       remotePrefillShares: helpers.length,
+      helperEntries: helpers.length + (memory.length > 0 ? 1 : 0),
       onEvent,
     });
+    if (!submitted) return false;
     for (const helper of helpers) {
       this.engineFor(helper).submit({
         ...prefillShare,
@@ -68,6 +73,7 @@
         onPrefilled: () => submitted.completeRemoteShare(),
       });
     }
+    return true;
   }
 
   private releaseAll(memory: PlacementDecision['memory']): void {
