--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -169,6 +169,27 @@
     assert.ok(retryBudget.acquire('notes', monotonicMs()));
   });
 
+  it('refuses at once, and says when to return, where all domains are emptied', async () => {
+    const responses: Array<[number, Record<string, string>]> = [];
+    const res = {
+      writeHead: (status: number, headers: Record<string, string>) =>
+        responses.push([status, headers]),
+      end: () => undefined,
+    };
+    const components = createComponents([], {
+      backends: {isEmptied: () => true},
+      // Placing or polling for a backend server would throw.
+      placements: undefined,
+    });
+    const {signal} = new AbortController();
+    const request = createRequest(signal, {});
+    Object.assign(request, {res});
+    await new RequestRunner(components, request).run();
+    const [[status, headers]] = responses as [(typeof responses)[0]];
+    assert.equal(status, 503);
+    assert.ok(Number(headers['Retry-After']) >= 2);
+  });
+
   it('sends nothing after the client has left while it waited for a permit', async () => {
     const permit = new Deferred<boolean>();
     const disconnection = new AbortController();
