--- a/packages/cli/src/bin/vmux.ts
+++ b/packages/cli/src/bin/vmux.ts
@@ -1,10 +1,11 @@
-import {SettleOutcome} from '@vanillamux/control';
+import {EvacuationAction, SettleOutcome} from '@vanillamux/control';
 import {RecordKind} from '@vanillamux/protocol';
 import {loadSettings, VERSION, type Address} from '@vanillamux/shared';
 import {cac} from 'cac';
 import type {CommandContext} from '../command_context.js';
 import {applyCommand} from '../commands/apply_command.js';
 import {backendsCommand} from '../commands/backends_command.js';
+import {evacuationCommand} from '../commands/evacuation_command.js';
 import {explainCommand} from '../commands/explain_command.js';
 import {getCommand} from '../commands/get_command.js';
 import {historyCommand, rollbackCommand} from '../commands/history_command.js';
@@ -194,6 +195,20 @@
   .action((backendId: string, model: string, flags: CommonFlags) =>
     runCommand(flags, ctx => orderCommand(ctx, {backendId, model})),
   );
+cli
+  .command('evacuate <domain>', 'Send nothing more to a failure domain')
+  .action((domain: string, flags: CommonFlags) =>
+    runCommand(flags, ctx =>
+      evacuationCommand(ctx, String(domain), EvacuationAction.Begin),
+    ),
+  );
+cli
+  .command('readmit <domain>', 'Use an emptied failure domain again')
+  .action((domain: string, flags: CommonFlags) =>
+    runCommand(flags, ctx =>
+      evacuationCommand(ctx, String(domain), EvacuationAction.Finish),
+    ),
+  );
 cli
   .command('query <statement>', 'Run a statement of the query language')
   .example('vmux query "show requests where state = refused limit 20"')
--- a/packages/cli/src/load_query_rows.ts
+++ b/packages/cli/src/load_query_rows.ts
@@ -25,6 +25,8 @@
       return loadDeclaredItems(session, query.subject);
     case Subject.Versions:
       return loadVersions(session);
+    case Subject.Domains:
+      return loadDomains(session);
   }
 }
 
@@ -141,3 +143,27 @@
     })),
   );
 }
+
+/** Failure domains that have control hosts or backend servers, or are emptied. */
+async function loadDomains(
+  session: OperatorSession,
+): Promise<Result<QueryRow[]>> {
+  const known = await session.control.callLeader(async (api, signal) => ({
+    view: await api.evacuation.read.query(undefined, {signal}),
+    group: await api.group.status.query(undefined, {signal}),
+  }));
+  if (!known.ok) return known;
+  const {view, group} = known.value;
+  const backends = await session.collectBackends();
+  const names = new Set([
+    ...view.failureDomains,
+    ...[...group.members, ...backends].map(({failureDomain}) => failureDomain),
+  ]);
+  return succeed(
+    [...names].sort().map(domain => ({
+      domain,
+      state: view.failureDomains.includes(domain) ? 'emptied' : 'in_use',
+      revision: view.revision,
+    })),
+  );
+}
--- a/packages/control/src/evacuation_router.ts
+++ b/packages/control/src/evacuation_router.ts
@@ -14,6 +14,7 @@
       .mutation(async ({input}) =>
         unwrap(await evacuator.orderAsLeader(input)),
       ),
+    known: procedure.query(() => evacuator.known),
     read: procedure.query(async () => unwrap(await evacuator.readAsLeader())),
   });
 }
--- a/packages/control/src/evacuator.ts
+++ b/packages/control/src/evacuator.ts
@@ -63,6 +63,11 @@
     });
   }
 
+  /** What this host knows, which may be older than what the leader knows. */
+  get known(): EvacuationView {
+    return this.host.stateMachine.evacuation.view;
+  }
+
   /** Reads the state on this host, which must be the leader. */
   async readAsLeader(): Promise<Result<EvacuationView>> {
     const confirmed = await this.host.node.confirmByQuorum(CONFIRM_TIMEOUT_MS);
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,5 @@
 export {addGauge} from './add_gauge.js';
-export {type Member} from '@vanillamux/consensus';
+export {type GroupStatus, type Member} from '@vanillamux/consensus';
 export {
   ReserveVerdict,
   type DeclareResult,
--- a/packages/query/src/subject.ts
+++ b/packages/query/src/subject.ts
@@ -7,4 +7,5 @@
   Workspaces = 'workspaces',
   Classes = 'classes',
   Versions = 'versions',
+  Domains = 'domains',
 }
