refactor(control): an evacuate command has the whole view

What could happen: a control host that went back to the build before and was updated again had lost the view, and each later order was outdated for it. Change: the leader plans the view, and members take any newer one whole.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -7,6 +7,7 @@
   ControlState,
   EntryHostFeed,
   EvacuationAction,
+  planEvacuation,
   type Command,
   type FeedRequest,
   type FeedUpdate,
@@ -21,13 +22,10 @@
 };
 
 function evacuate(state: ControlState, failureDomain: string): void {
-  const command: Command = {
-    kind: CommandKind.Evacuate,
-    failureDomain,
-    action: EvacuationAction.Begin,
-    expectedRevision: state.evacuation.view.revision,
-    atMs: 0,
-  };
+  const action = EvacuationAction.Begin;
+  const view = planEvacuation(state.evacuation.view, {failureDomain, action});
+  assert.ok(view);
+  const command: Command = {kind: CommandKind.Evacuate, view, atMs: 0};
   state.apply(JSON.stringify(command));
 }
 
--- a/packages/control/__tests__/evacuation_state.test.ts
+++ b/packages/control/__tests__/evacuation_state.test.ts
@@ -1,5 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import type {EvacuationView} from '@vanillamux/protocol';
 import fc from 'fast-check';
 import {
   CommandKind,
@@ -7,8 +8,10 @@
   EvacuationAction,
   EvacuationState,
   EvacuationVerdict,
+  planEvacuation,
   type Command,
   type EvacuationAnswer,
+  type EvacuationOrder,
 } from '../src/index.js';
 
 const RUNS = Number(process.env['VMUX_PROPERTY_RUNS'] ?? 300);
@@ -21,7 +24,7 @@
   readonly failureDomain: string;
   readonly action: EvacuationAction;
   readonly verdict: EvacuationVerdict;
-  /** Revisions by which the order is behind. */
+  /** Revisions by which the view behind the order is old. */
   readonly behind?: number;
 }
 
@@ -83,18 +86,26 @@
   },
 ];
 
+/** Carries out an order that is based on a view; returns the verdict. */
+function carryOut(
+  state: EvacuationState,
+  known: EvacuationView,
+  order: EvacuationOrder,
+): EvacuationVerdict {
+  const view = planEvacuation(known, order);
+  if (!view) return LimitReached;
+  return view === known ? Unchanged : state.replace(view).verdict;
+}
+
 function evacuate(
   state: ControlState,
   failureDomain: string,
   action: EvacuationAction,
 ): string {
-  const command: Command = {
-    kind: CommandKind.Evacuate,
-    failureDomain,
-    action,
-    expectedRevision: state.evacuation.view.revision,
-    atMs: 0,
-  };
+  const {view: known} = state.evacuation;
+  const view = planEvacuation(known, {failureDomain, action});
+  assert.ok(view);
+  const command: Command = {kind: CommandKind.Evacuate, view, atMs: 0};
   return JSON.stringify(command);
 }
 
@@ -102,11 +113,11 @@
   for (const {name, steps, emptied, revision} of CASES) {
     it(name, () => {
       const state = new EvacuationState();
+      const views = [state.view];
       for (const {verdict, behind = 0, ...order} of steps) {
-        const expectedRevision = state.view.revision - behind;
-        const answer = state.order({...order, expectedRevision});
-        assert.equal(answer.verdict, verdict);
-        assert.equal(answer.revision, state.view.revision);
+        const before = views[views.length - 1 - behind]!;
+        assert.equal(carryOut(state, before, order), verdict);
+        if (verdict === Changed) views.push(state.view);
       }
       assert.deepEqual(state.view, {revision, failureDomains: emptied});
     });
@@ -156,7 +167,7 @@
           log.push(command);
           for (const each of members) {
             const answer = each.state.apply(command) as EvacuationAnswer;
-            assert.equal(answer.verdict, isChange ? Changed : Unchanged);
+            assert.equal(answer.verdict, isChange ? Changed : Outdated);
           }
         }
         for (const {state} of members) {
@@ -204,6 +215,17 @@
     );
   });
 
+  it('loses the view, which the next order brings back', () => {
+    const leader = new ControlState();
+    const first = evacuate(leader, 'a', Begin);
+    leader.apply(first);
+    const second = evacuate(leader, 'b', Begin);
+    leader.apply(second);
+    const behind = new ControlState();
+    behind.apply(second);
+    assert.deepEqual(behind.evacuation.view, leader.evacuation.view);
+  });
+
   it('sends snapshots that leave the emptied domains as they are', () => {
     const before = new ControlState().snapshot();
     const state = new ControlState();
--- a/packages/control/src/command_schema.ts
+++ b/packages/control/src/command_schema.ts
@@ -1,7 +1,6 @@
-import {declarationsSchema, emptiedDomainSchema} from '@vanillamux/protocol';
+import {declarationsSchema, evacuationViewSchema} from '@vanillamux/protocol';
 import {z} from 'zod';
 import {CommandKind} from './command_kind.js';
-import {EvacuationAction} from './evacuation_action.js';
 import {SettleOutcome} from './settle_outcome.js';
 import {storedResponseSchema} from './stored_response_schema.js';
 
@@ -67,10 +66,7 @@
 
 const evacuateSchema = z.object({
   kind: z.literal(CommandKind.Evacuate),
-  failureDomain: emptiedDomainSchema,
-  action: z.nativeEnum(EvacuationAction),
-  /** Revision that the order was based on; void after any later change. */
-  expectedRevision: z.number().int().min(0),
+  view: evacuationViewSchema,
   atMs,
 });
 
--- a/packages/control/src/commands.ts
+++ b/packages/control/src/commands.ts
@@ -19,7 +19,7 @@
 /** Replaces the published document if the version is higher. */
 export type PublishCommand = z.infer<typeof commandSchemas.publish>;
 
-/** Empties a failure domain, or takes it back. */
+/** Replaces the emptied failure domains if the revision is higher. */
 export type EvacuateCommand = z.infer<typeof commandSchemas.evacuate>;
 
 /** Any command in the replicated log. */
--- a/packages/control/src/control_state.ts
+++ b/packages/control/src/control_state.ts
@@ -84,7 +84,7 @@
       case CommandKind.Publish:
         return this.published.publish(command);
       case CommandKind.Evacuate:
-        return this.evacuation.order(command);
+        return this.evacuation.replace(command.view);
     }
   }
 }
--- a/packages/control/src/evacuation_router.ts
+++ b/packages/control/src/evacuation_router.ts
@@ -1,8 +1,6 @@
 import {rpcBuilder, unwrap} from '@vanillamux/rpc';
-import {commandSchemas} from './command_schema.js';
 import type {Evacuator} from './evacuator.js';
-
-const orderSchema = commandSchemas.evacuate.omit({kind: true, atMs: true});
+import {revisedOrderSchema} from './revised_order_schema.js';
 
 /** Creates the routes by which hosts and operators call the leader. */
 // eslint-disable-next-line @typescript-eslint/explicit-module-boundary-types -- tRPC infers the type that clients share
@@ -10,7 +8,7 @@
   const {procedure, router} = rpcBuilder;
   return router({
     order: procedure
-      .input(orderSchema)
+      .input(revisedOrderSchema)
       .mutation(async ({input}) =>
         unwrap(await evacuator.orderAsLeader(input)),
       ),
--- a/packages/control/src/evacuation_state.ts
+++ b/packages/control/src/evacuation_state.ts
@@ -1,9 +1,7 @@
-import {MAX_EMPTIED_DOMAINS, type EvacuationView} from '@vanillamux/protocol';
+import type {EvacuationView} from '@vanillamux/protocol';
 import {EventBus} from '@vanillamux/shared';
-import {EvacuationAction} from './evacuation_action.js';
 import type {EvacuationAnswer} from './evacuation_answer.js';
 import {EvacuationVerdict} from './evacuation_verdict.js';
-import type {RevisedOrder} from './revised_order.js';
 
 /** Holds the failure domains that operators have emptied. */
 export class EvacuationState {
@@ -17,28 +15,15 @@
   }
 
   /**
-   * Carries out an order that is based on the current revision. One that was
-   * delayed on its way could otherwise undo a later one.
+   * Replaces the view by a newer one. The command has all of it, so that a
+   * member that lost it in a build before catches up at the next order.
    */
-  order({
-    failureDomain,
-    action,
-    expectedRevision,
-  }: RevisedOrder): EvacuationAnswer {
-    const {revision, failureDomains} = this.current;
-    if (expectedRevision !== revision)
+  replace(view: EvacuationView): EvacuationAnswer {
+    const {revision} = this.current;
+    if (view.revision <= revision)
       return {verdict: EvacuationVerdict.Outdated, revision};
-    const isBegin = action === EvacuationAction.Begin;
-    if (failureDomains.includes(failureDomain) === isBegin)
-      return {verdict: EvacuationVerdict.Unchanged, revision};
-    if (isBegin && failureDomains.length >= MAX_EMPTIED_DOMAINS)
-      return {verdict: EvacuationVerdict.LimitReached, revision};
-    const others = failureDomains.filter(name => name !== failureDomain);
-    this.replace({
-      revision: revision + 1,
-      failureDomains: isBegin ? [...others, failureDomain].sort() : others,
-    });
-    return {verdict: EvacuationVerdict.Changed, revision: revision + 1};
+    this.set(view);
+    return {verdict: EvacuationVerdict.Changed, revision: view.revision};
   }
 
   /** Returns the state for a snapshot; `undefined` before the first order. */
@@ -51,10 +36,10 @@
    * an earlier build leaves it out of its snapshots.
    */
   load(view: EvacuationView | undefined): void {
-    if (view && view.revision !== this.current.revision) this.replace(view);
+    if (view && view.revision !== this.current.revision) this.set(view);
   }
 
-  private replace(view: EvacuationView): void {
+  private set(view: EvacuationView): void {
     this.current = view;
     this.revisions.emit(view.revision);
   }
--- a/packages/control/src/evacuator.ts
+++ b/packages/control/src/evacuator.ts
@@ -10,6 +10,7 @@
 import {EvacuationVerdict} from './evacuation_verdict.js';
 import {GroupCommandLevel} from './group_command_level.js';
 import type {LeaderCaller} from './leader_caller.js';
+import {planEvacuation} from './plan_evacuation.js';
 import {proposeCommand} from './propose_command.js';
 import type {RevisedOrder} from './revised_order.js';
 
@@ -36,7 +37,7 @@
    * an error it is unknown whether it is in force; repeating it is safe.
    */
   async order(order: EvacuationOrder): Promise<Result<EvacuationAnswer>> {
-    let expectedRevision = this.host.stateMachine.evacuation.view.revision;
+    let expectedRevision = this.known.revision;
     for (let tries = 1; ; tries++) {
       const revised = {...order, expectedRevision};
       const result = await this.leader.run(
@@ -57,9 +58,16 @@
       const required = await this.commandLevel.require(CommandLevel.Evacuate);
       if (!required.ok) return required;
     }
+    const {known} = this;
+    const {revision} = known;
+    if (order.expectedRevision !== revision)
+      return this.confirm(EvacuationVerdict.Outdated);
+    const view = planEvacuation(known, order);
+    if (!view) return this.confirm(EvacuationVerdict.LimitReached);
+    if (view === known) return this.confirm(EvacuationVerdict.Unchanged);
     return proposeCommand<EvacuateCommand, EvacuationAnswer>(node, {
       kind: CommandKind.Evacuate,
-      ...order,
+      view,
     });
   }
 
@@ -72,6 +80,21 @@
   async readAsLeader(): Promise<Result<EvacuationView>> {
     const confirmed = await this.host.node.confirmByQuorum(CONFIRM_TIMEOUT_MS);
     if (!confirmed.ok) return confirmed;
-    return succeed(this.host.stateMachine.evacuation.view);
+    return succeed(this.known);
+  }
+
+  /** Answers without a change, once a quorum confirms what this host knows. */
+  private async confirm(
+    verdict: EvacuationVerdict,
+  ): Promise<Result<EvacuationAnswer>> {
+    const before = this.known.revision;
+    const confirmed = await this.readAsLeader();
+    if (!confirmed.ok) return confirmed;
+    const {revision} = confirmed.value;
+    const isSame = revision === before;
+    return succeed({
+      verdict: isSame ? verdict : EvacuationVerdict.Outdated,
+      revision,
+    });
   }
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -44,6 +44,7 @@
 export {type FeedRequest} from './feed_request.js';
 export {type PublishAnswer} from './publish_answer.js';
 export {PublishedState} from './published_state.js';
+export {planEvacuation} from './plan_evacuation.js';
 export {PublishVerdict} from './publish_verdict.js';
 export {Publisher} from './publisher.js';
 export {recordQuerySchema} from './record_query_schema.js';
--- a/packages/control/src/revised_order.ts
+++ b/packages/control/src/revised_order.ts
@@ -1,4 +1,5 @@
-import type {EvacuateCommand} from './commands.js';
+import type {z} from 'zod';
+import type {revisedOrderSchema} from './revised_order_schema.js';
 
-/** An order with the revision of the state that it is based on. */
-export type RevisedOrder = Omit<EvacuateCommand, 'kind' | 'atMs'>;
+/** An order with the revision of the view that it is based on. */
+export type RevisedOrder = z.infer<typeof revisedOrderSchema>;
