perf(build): start the platform's binaries from a code cache

A host compiled its whole bundle at each start, and each function at its first call; at one request a second most code runs a few times only. The bundles now lie in target/bundles with a cache of every function, made by the build with the flags of the role, and the binaries of the same name load them. A cache of other flags or of another Node.js is not accepted: the bundle is then compiled as before, with a warning.

scripts/measure_host.mjs measures one gateway and one control host beside the messages of a fleet that it plays.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,13 +1,28 @@
 // Bundles the binaries for the users' platform into target/, so that a process
-// reads only one file at startup.
-import process from 'node:process';
-import {readdirSync} from 'node:fs';
+// reads few files at startup and has its code compiled.
+import {spawnSync} from 'node:child_process';
+import {copyFileSync, readdirSync, readFileSync, rmSync} from 'node:fs';
 import {dirname, join} from 'node:path';
+import process from 'node:process';
 import {fileURLToPath} from 'node:url';
+import {parseArgs} from 'node:util';
 import {build} from 'esbuild';
 
+/** Flags and binary of a role. */
+const RUN_PATTERN = /^run = "node (.*?) ?target\/(\S+)\.cjs"$/gm;
+
 const root = join(dirname(fileURLToPath(import.meta.url)), '..');
 const packageNames = readdirSync(join(root, 'packages'));
+const {values} = parseArgs({
+  options: {
+    minify: {type: 'boolean', default: false},
+    outdir: {type: 'string', default: join(root, 'target')},
+  },
+});
+const {minify, outdir} = values;
+
+// V8 recognizes the bundle of a cache by its length only.
+rmSync(join(outdir, 'bundles'), {recursive: true, force: true});
 
 await build({
   absWorkingDir: root,
@@ -15,13 +30,13 @@
     'vmux-platform-gateway': 'platform/src/bin/vmux_platform_gateway.ts',
     'vmux-platform-control': 'platform/src/bin/vmux_platform_control.ts',
   },
-  outdir: 'target',
+  outdir: join(outdir, 'bundles'),
   outExtension: {'.js': '.cjs'},
   bundle: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  minify: process.argv.includes('--minify'),
+  minify,
   // Resolves the packages to their TypeScript sources, so that no compiler has
   // to run before.
   alias: {
@@ -34,3 +49,21 @@
     ),
   },
 });
+
+const deployment = readFileSync(join(root, 'deploy/system.toml'), 'utf8');
+for (const [, flags, name] of deployment.matchAll(RUN_PATTERN)) {
+  const {status} = spawnSync(
+    process.execPath,
+    [
+      ...flags.split(' '),
+      join(root, 'scripts/create_code_cache.cjs'),
+      join(outdir, 'bundles', `${name}.cjs`),
+    ],
+    {stdio: ['ignore', 'inherit', 'inherit']},
+  );
+  if (status !== 0) process.exit(status ?? 1);
+  copyFileSync(
+    join(root, 'scripts/load_bundle.cjs'),
+    join(outdir, `${name}.cjs`),
+  );
+}
--- /dev/null
+++ b/scripts/measure_host.mjs
@@ -0,0 +1,279 @@
+// Prints the processor time of one entry host and one control host beside the
+// messages of a fleet, which this process plays. Needs `node scripts/build.mjs`
+// and `node scripts/bundle.mjs`. Options: --hosts 75 --seconds 20 --target DIR
+// --flags "V8 FLAGS" --profile DIR
+import {spawn} from 'node:child_process';
+import {createSocket} from 'node:dgram';
+import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {createServer, request, Agent} from 'node:http';
+import console from 'node:console';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import process from 'node:process';
+import {clearInterval, setInterval, setTimeout} from 'node:timers';
+import {parseArgs} from 'node:util';
+import {findFreePorts} from '@vanillamux/fleet';
+import {RpcClient} from '@vanillamux/rpc';
+import {sleep} from '@vanillamux/shared';
+import {createWireConfiguration} from '../platform/dist/__tests__/support/create_wire_configuration.js';
+
+const {values} = parseArgs({
+  options: {
+    hosts: {type: 'string', default: '75'},
+    seconds: {type: 'string', default: '20'},
+    target: {type: 'string', default: 'target'},
+    flags: {type: 'string', default: ''},
+    profile: {type: 'string'},
+  },
+});
+const HOSTS = Number(values.hosts);
+const SECONDS = Number(values.seconds);
+const DOMAINS = ['fd-a', 'fd-b', 'fd-c'];
+const CONTROL_HOSTS = 3;
+const ENGINES = 70;
+/** Requests to engines a second and host, as the users' large sheets have. */
+const REQUESTS_PER_HOST_AND_S = 1;
+const RESPONSE_MS = 1_400;
+const EVENTS = 33;
+const HEARTBEAT_MS = 1_200;
+const TICKS_PER_S = 100;
+const BASE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
+
+const folder = mkdtempSync(join(tmpdir(), 'vmux-measure-host-'));
+const [rpcPort, enginePort, ...ports] = await findFreePorts(
+  5 + CONTROL_HOSTS + HOSTS,
+);
+const [listen, readiness, metrics] = ports.splice(0, 3);
+const apiPorts = ports.splice(0, CONTROL_HOSTS);
+const children = [];
+const agent = new Agent({keepAlive: true});
+
+function start(name, binary, settings, flags) {
+  const file = join(folder, `${name}.yaml`);
+  writeFileSync(file, JSON.stringify({...settings, logFormat: 'json'}));
+  const child = spawn(
+    process.execPath,
+    [...BASE_FLAGS, ...flags, join(values.target, binary), '--config', file],
+    {stdio: ['ignore', 'pipe', 'inherit']},
+  );
+  child.logLines = 0;
+  child.stdout.on('data', chunk => {
+    child.logLines += String(chunk).split('\n').length - 1;
+  });
+  children.push(child);
+  return child;
+}
+
+/** Processor milliseconds that a process has used. */
+function usedMs({pid}) {
+  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1];
+  const [user, system] = fields.split(' ').slice(11, 13).map(Number);
+  return ((user + system) * 1_000) / TICKS_PER_S;
+}
+
+function send(port, path, method, body, headers = {}) {
+  return new Promise(resolve => {
+    const req = request(
+      {host: '127.0.0.1', port, path, method, headers, agent},
+      res => res.resume().on('end', () => resolve(res.statusCode)),
+    );
+    req.on('error', () => resolve(0));
+    req.end(body);
+  });
+}
+
+const engine = createServer((req, res) => {
+  req.resume();
+  res.writeHead(200, {
+    'content-type': 'text/event-stream',
+    'attempt-id': req.headers['attempt-id'] ?? '',
+    'worker-signature': req.headers['worker-id'] ?? 'engine-0',
+  });
+  let id = 0;
+  const timer = setInterval(() => {
+    if (id++ < EVENTS)
+      return void res.write(`id: ${id}\ndata: piece ${id}\n\n`);
+    clearInterval(timer);
+    res.end();
+  }, RESPONSE_MS / EVENTS);
+  res.on('close', () => clearInterval(timer));
+});
+engine.listen(enginePort, '127.0.0.1');
+
+const flags = values.flags.split(' ').filter(Boolean);
+const controls = apiPorts.map((api, index) =>
+  start(
+    `control-${index}`,
+    'vmux-platform-control.cjs',
+    {
+      id: `control-${index}`,
+      failureDomain: DOMAINS[index % DOMAINS.length],
+      listen: `127.0.0.${index + 1}:${rpcPort}`,
+      api: `127.0.0.1:${api}`,
+      dataFolder: mkdtempSync(join(folder, 'disk-')),
+      discovery: {
+        seeds: apiPorts.map((_, seed) => `127.0.0.${seed + 1}:1`),
+        peerPort: rpcPort,
+        bootstrap: true,
+      },
+      heartbeatMs: HEARTBEAT_MS,
+    },
+    flags,
+  ),
+);
+const gateway = start(
+  'gateway',
+  'vmux-platform-gateway.cjs',
+  {
+    id: 'entry-0',
+    failureDomain: DOMAINS[0],
+    listen: `127.0.0.1:${listen}`,
+    readiness: `127.0.0.1:${readiness}`,
+    metrics: `127.0.0.1:${metrics}`,
+    peers: `127.0.0.1:${ports[0]}`,
+    seeds: apiPorts.map((_, seed) => `127.0.0.${seed + 1}:1`),
+    peerPort: rpcPort,
+  },
+  values.profile
+    ? [...flags, '--cpu-prof', `--cpu-prof-dir=${values.profile}`]
+    : flags,
+);
+
+// Heartbeats of the engines, spread over the control hosts.
+let sequence = 0;
+function sendHeartbeat(index) {
+  const body = JSON.stringify({
+    backend: 'engine',
+    address: `127.0.0.1:${enginePort}`,
+    zone_name: DOMAINS[index % DOMAINS.length],
+    version: 'v1',
+    capacity: 11,
+    phase: 'ready',
+    sequence: ++sequence,
+    born: 1,
+  });
+  const api = apiPorts[index % CONTROL_HOSTS];
+  return send(api, `/-/workers/engine-${index}/heartbeat`, 'POST', body);
+}
+const config = JSON.stringify(createWireConfiguration());
+while (
+  (await send(apiPorts[0], '/-/configuration/replace', 'POST', config)) !== 200
+)
+  await sleep(100);
+for (let index = 0; index < ENGINES; index++) {
+  setTimeout(
+    () => {
+      void sendHeartbeat(index);
+      setInterval(() => void sendHeartbeat(index), HEARTBEAT_MS);
+    },
+    (HEARTBEAT_MS * index) / ENGINES,
+  );
+}
+
+// The peers: each polls each control host and reads its datagrams.
+let received = 0;
+let receivedBytes = 0;
+const peers = ports.slice(1).map((port, index) => {
+  const id = `entry-${index + 1}`;
+  const failureDomain = DOMAINS[(index + 1) % DOMAINS.length];
+  const socket = createSocket('udp4');
+  socket.on('message', bytes => {
+    received++;
+    receivedBytes += bytes.length;
+  });
+  socket.bind(port, '127.0.0.1');
+  return {id, failureDomain, socket, address: {host: '127.0.0.1', port}};
+});
+async function poll({id, failureDomain, address}, host) {
+  const client = new RpcClient({address: {host, port: rpcPort}, from: id});
+  let state = {registryId: '', position: 0, peersVersion: -1, version: -1};
+  for (;;) {
+    const result = await client.call(
+      api =>
+        api.feed.wait.query({
+          ...state,
+          entry: {id, failureDomain, address},
+          waitMs: 5_000,
+        }),
+      6_500,
+    );
+    if (result.ok) state = result.value;
+    else await sleep(250);
+  }
+}
+for (const peer of peers)
+  for (let index = 0; index < CONTROL_HOSTS; index++)
+    void poll(peer, `127.0.0.${index + 1}`);
+
+// Notices that the gateway would get of what its peers place.
+let sentNotices = 0;
+let nextWork = 0;
+let turn = 0;
+function sendNotice(from, work, placed, ended) {
+  const own = from.failureDomain === DOMAINS[0];
+  const ownPeers = peers.filter(p => p.failureDomain === DOMAINS[0]);
+  // One of the own failure domain relays what comes from another one.
+  const isRelay = !own && turn++ % (ownPeers.length + 1) === 0;
+  const via = own || isRelay ? from : ownPeers[turn % ownPeers.length];
+  const notice = {from: from.id, work, relay: isRelay, placed, ended};
+  via.socket.send(JSON.stringify(notice), ports[0], '127.0.0.1');
+  sentNotices++;
+}
+function place() {
+  const from = peers[nextWork % peers.length];
+  const work = `${from.id}/request-${nextWork++}/1`;
+  const engineId = `engine-${(nextWork * 7) % ENGINES}`;
+  sendNotice(from, work, [[engineId, 1, 24, 4_960, 1_400, 200, 259, 1.7]], []);
+  setTimeout(() => sendNotice(from, work, [], [engineId]), RESPONSE_MS);
+}
+
+const headers = {
+  host: 'main.example',
+  'x-api-key': 'key-1',
+  'deadline-ms': '10000',
+};
+const body = JSON.stringify({prompt: 'x'.repeat(200)});
+const statuses = {};
+async function sendRequest(index) {
+  const status = await send(listen, '/stream/engine/x', 'POST', body, {
+    ...headers,
+    'attempt-id': `attempt-${index}`,
+  });
+  statuses[status] = (statuses[status] ?? 0) + 1;
+}
+
+async function measure(name, {notices = false, requests = 0}) {
+  const timers = [];
+  if (notices)
+    timers.push(
+      setInterval(place, 1_000 / (peers.length * REQUESTS_PER_HOST_AND_S)),
+    );
+  if (requests > 0) timers.push(setInterval(sendRequest, 1_000 / requests, 0));
+  await sleep(RESPONSE_MS + 600);
+  const before = [usedMs(gateway), usedMs(controls[0]), sentNotices, received];
+  const bytesBefore = receivedBytes;
+  const linesBefore = gateway.logLines;
+  await sleep(SECONDS * 1_000);
+  const after = [usedMs(gateway), usedMs(controls[0]), sentNotices, received];
+  for (const timer of timers) clearInterval(timer);
+  const [host, control, sent, got] = after.map(
+    (value, index) => (value - before[index]) / SECONDS,
+  );
+  console.log(
+    `${name}: entry host ${host.toFixed(1)} ms/s, control host ${control.toFixed(1)} ms/s,` +
+      ` notices to it ${sent.toFixed(0)}/s, from it ${got.toFixed(0)}/s of ${Math.round((receivedBytes - bytesBefore) / SECONDS / Math.max(got, 1))} B,` +
+      ` log lines ${((gateway.logLines - linesBefore) / SECONDS).toFixed(1)}/s`,
+  );
+  await sleep(RESPONSE_MS + 600);
+}
+
+await sleep(6_000);
+console.log(`${HOSTS} hosts; start ${usedMs(gateway)} ms of processor time`);
+await measure('at rest', {});
+await measure('own requests', {requests: REQUESTS_PER_HOST_AND_S});
+await measure("peers' notices", {notices: true});
+await measure('both', {notices: true, requests: REQUESTS_PER_HOST_AND_S});
+console.log('responses', JSON.stringify(statuses));
+for (const child of children) child.kill('SIGTERM');
+await sleep(4_000);
+process.exit();
