feat(gateway): permits and predictions for cold backend servers

A server that says how long it stays cold (cold_left_ms of its heartbeat) was treated as any other, by every host.

- Presence.coldForMs, left out by a server that is not cold, aged by the control host that holds it; a changed end of the stretch wakes polls.
- A request to a cold server of a service with a cold rate requires a permit of the server's owner; two owners at once stay within rate x overshoot + allowance.
- EngineCostModel stretches work by what cold servers were observed to be slower, only for what is left of the stretch.
Silence in it is no fault.

--- a/packages/control/__tests__/backend_registry.test.ts
+++ b/packages/control/__tests__/backend_registry.test.ts
@@ -66,6 +66,46 @@
     assert.equal(registry.changesSince(registryId, position).reports.length, 1);
   });
 
+  const COLD_CASES: ReadonlyArray<{
+    readonly name: string;
+    readonly beforeMs?: number;
+    readonly afterMs?: number;
+    readonly isNews: boolean;
+  }> = [
+    {
+      name: 'is as cold as expected',
+      beforeMs: 3_000,
+      afterMs: 2_000,
+      isNews: false,
+    },
+    {name: 'becomes cold', afterMs: 3_000, isNews: true},
+    {name: 'becomes cold again', beforeMs: 500, afterMs: 3_000, isNews: true},
+    {name: 'is cold for longer', beforeMs: 3_000, afterMs: 3_000, isNews: true},
+    {name: 'is not cold any more', beforeMs: 3_000, isNews: true},
+    {name: 'was cold until now', beforeMs: 1_000, isNews: false},
+  ];
+  for (const {name, beforeMs, afterMs, isNews} of COLD_CASES)
+    it(`${isNews ? 'wakes' : 'does not wake'} polls for one that ${name}`, () => {
+      const {registry, advance} = createRegistry();
+      registry.receive(heartbeat(1, {coldForMs: beforeMs}));
+      const {registryId, position} = registry.changesSince('', 0);
+      advance(HEARTBEAT_MS);
+      registry.receive(heartbeat(2, {coldForMs: afterMs}));
+      const {reports} = registry.changesSince(registryId, position);
+      assert.equal(reports.length, Number(isNews));
+    });
+
+  it('reports what is left of a cold stretch', () => {
+    const {registry, advance} = createRegistry();
+    registry.receive(heartbeat(1, {coldForMs: 3_000}));
+    for (const leftMs of [3_000, 2_000, 1_000, 0, 0]) {
+      const [report] = registry.changesSince('', 0).reports;
+      assert.equal(report?.coldForMs, leftMs);
+      assert.ok(presenceSchema.safeParse(report).success);
+      advance(HEARTBEAT_MS);
+    }
+  });
+
   const LEAVE_CASES: Array<{
     readonly name: string;
     readonly incarnation?: number;
--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -18,6 +18,9 @@
 /** Silence in heartbeats after which an unchanged report counts as a change. */
 const REFRESH_AFTER_HEARTBEATS = 2;
 
+/** Difference between two ends of a cold stretch that are the same to hosts. */
+const COLD_TOLERANCE_MS = 250;
+
 /** Stands for what is not known of a backend server that has left. */
 const UNKNOWN_PRESENCE: Omit<Presence, 'id' | 'incarnation'> = {
   sequence: 0,
@@ -76,13 +79,16 @@
     const changes = this.presenceTable.apply(report);
     const current = changes.at(-1);
     if (!current) return false;
+    const coldBeforeMs = previous ? this.coldLeftMs(previous) : 0;
     const elapsedMs =
       this.now() - (this.lastReceivedMsById.get(report.id) ?? -Infinity);
     this.lastReceivedMsById.set(report.id, this.now());
+    const coldChangeMs = Math.abs(this.coldLeftMs(current) - coldBeforeMs);
     const isRedundant =
       changes.length === 1 &&
       previous !== undefined &&
       isUnchanged(previous, current) &&
+      coldChangeMs <= COLD_TOLERANCE_MS &&
       elapsedMs < REFRESH_AFTER_HEARTBEATS * this.options.heartbeatMs;
     if (!isRedundant) this.appendChanges(changes);
     return true;
@@ -145,7 +151,8 @@
     const fromPosition = registryId === this.registryId ? position : 0;
     const reports = this.presenceTable
       .list()
-      .filter(({id}) => (this.positionById.get(id) ?? 0) > fromPosition);
+      .filter(({id}) => (this.positionById.get(id) ?? 0) > fromPosition)
+      .map(report => this.withAge(report));
     return {registryId: this.registryId, position: this.position, reports};
   }
 
@@ -154,6 +161,18 @@
     return this.changeDeferred.promise;
   }
 
+  /** Time for which a backend server stays cold from now on. */
+  private coldLeftMs({id, coldForMs = 0}: Presence): number {
+    const ageMs = this.now() - (this.lastReceivedMsById.get(id) ?? this.now());
+    return Math.max(0, coldForMs - ageMs);
+  }
+
+  /** Returns a report as it holds for an entry host that receives it now. */
+  private withAge(report: Presence): Presence {
+    if (report.coldForMs === undefined) return report;
+    return {...report, coldForMs: Math.ceil(this.coldLeftMs(report))};
+  }
+
   private appendChanges(changes: readonly Presence[]): void {
     if (changes.length === 0) return;
     for (const presence of changes) {
@@ -165,6 +184,7 @@
         address: formatAddress(presence.address),
         incarnation: presence.incarnation,
         sequence: presence.sequence,
+        coldForMs: presence.coldForMs,
       });
     }
     this.changeDeferred.resolve();
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -21,6 +21,7 @@
     limitedBackends: () => 1,
     leavingBackends: () => 1,
     emptiedDomains: () => 1,
+    coldBackends: () => 1,
     lostServices: () => 0,
     cutOffPeers: () => 0,
     quarantinedRequests: () => 1,
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -174,6 +174,7 @@
     requestLimits: {
       waitMs: () => 0,
       isLimited: () => false,
+      requiresPermit: () => false,
       learn: () => undefined,
     },
     requestRecorder: {
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -65,7 +65,11 @@
     memory: {reserve: async () => []},
     admission: createAdmissionPolicy(AdmissionPolicyName.Open),
     notices: {tell: () => {}, tellEnd: () => {}},
-    requestLimits: {waitMs: () => 0, isLimited: () => false},
+    requestLimits: {
+      waitMs: () => 0,
+      isLimited: () => false,
+      requiresPermit: () => false,
+    },
     reach: new ServiceReach(),
     relayPeers: {choose: () => undefined},
     quarantine: {
@@ -198,6 +202,7 @@
       requestLimits: {
         waitMs: () => 0,
         isLimited: () => true,
+        requiresPermit: () => true,
         acquire: () => permit.promise,
       },
       connections: {
--- a/packages/gateway/src/config/service_spec.ts
+++ b/packages/gateway/src/config/service_spec.ts
@@ -6,6 +6,11 @@
   readonly healthPath: string;
   /** Connections that one backend server accepts from all callers. */
   readonly maxConnections: number;
+  /**
+   * Requests a second that a cold backend server stands, from all hosts
+   * together; not limited if left out or 0.
+   */
+  readonly coldRatePerS?: number;
   /** Present when the backend servers are model engines. */
   readonly engine?: EngineSpec;
 }
--- a/packages/gateway/src/fleet/backend.ts
+++ b/packages/gateway/src/fleet/backend.ts
@@ -1,4 +1,7 @@
 import {PresenceState, type Presence} from '@vanillamux/protocol';
+import {ColdPace} from '../cold_backends/cold_pace.js';
+import type {ColdSlowdown} from '../cold_backends/cold_slowdown.js';
+import {ColdStretch} from '../cold_backends/cold_stretch.js';
 import type {LoadReport} from '../dialect/load_report.js';
 import {EnginePace} from './engine_pace.js';
 import {FailureTracker} from './failure_tracker.js';
@@ -14,13 +17,18 @@
   readonly work = new WorkTracker();
   readonly pause = new RequestPause();
   readonly pace = new EnginePace();
+  readonly cold = new ColdStretch();
   /** Requests of this host that have not ended. */
   inFlight = 0;
   private loadReport?: LoadReport;
   private loadReportedMs = 0;
   private inFlightAtReport = 0;
 
-  constructor(private latestReport: Presence) {}
+  constructor(
+    private latestReport: Presence,
+    /** Learnt by all backend servers of the service together. */
+    readonly coldPace = new ColdPace(),
+  ) {}
 
   /** Latest report of this incarnation. */
   get presence(): Presence {
@@ -37,6 +45,14 @@
     this.latestReport = report;
   }
 
+  /** How much slower it is while it is cold, beyond what `pace` knows. */
+  coldSlowdown(nowMs: number): ColdSlowdown {
+    const leftMs = this.cold.leftMs(nowMs);
+    if (leftMs === 0) return {factor: 1, leftMs};
+    const factor = this.coldPace.factor / this.pace.factor(nowMs);
+    return {factor: Math.max(1, factor), leftMs};
+  }
+
   /** Records the load that a response reported. */
   recordLoad(load: LoadReport, nowMs: number): void {
     this.loadReport = load;
--- a/packages/gateway/src/fleet/backend_pool.ts
+++ b/packages/gateway/src/fleet/backend_pool.ts
@@ -6,6 +6,7 @@
 } from '@vanillamux/protocol';
 import {EventBus, getLogger, monotonicMs} from '@vanillamux/shared';
 import type {Stream} from 'most';
+import {ColdPace} from '../cold_backends/cold_pace.js';
 import {DepartureTable} from '../departures/departure_table.js';
 import {EmptiedDomains} from '../evacuation/emptied_domains.js';
 import {Backend} from './backend.js';
@@ -38,6 +39,7 @@
   private readonly observations = new ObservationTable();
   private readonly backends = new Map<string, Backend>();
   private readonly backendsByService = new Map<string, Set<Backend>>();
+  private readonly coldPaceByService = new Map<string, ColdPace>();
   readonly reachability = new DomainReachability();
   /** Backend servers that have said that they leave; no candidates. */
   readonly departures = new DepartureTable();
@@ -166,10 +168,17 @@
       report.state === PresenceState.Silent
         ? {...report, state: PresenceState.Ready}
         : report;
-    for (const change of this.table.apply(own)) {
+    const changes = this.table.apply(own);
+    for (const change of changes) {
       const liveness = this.observations.judge(change, this.now());
       this.applyChange(withLiveness(change, liveness));
     }
+    // An older report would prolong a cold stretch.
+    if (changes.length > 0) this.applyColdness(report);
+  }
+
+  private applyColdness({id, sequence, coldForMs = 0}: Presence): void {
+    this.backends.get(id)?.cold.record(sequence, coldForMs, this.now());
   }
 
   /** Applies what all control hosts together know of a backend server. */
@@ -196,6 +205,7 @@
       heardBy: this.observations.hosts(report.id).join(),
       incarnation: report.incarnation,
       sequence: report.sequence,
+      coldForMs: report.coldForMs,
     });
     if (current && !isSameIncarnation) this.remove(current);
     if (report.state === PresenceState.Gone) {
@@ -203,7 +213,13 @@
       return;
     }
     if (current && isSameIncarnation) this.update(current, report);
-    else this.add(new Backend(report));
+    else this.add(new Backend(report, this.coldPaceOf(report.service)));
+  }
+
+  private coldPaceOf(service: string): ColdPace {
+    const pace = this.coldPaceByService.get(service) ?? new ColdPace();
+    this.coldPaceByService.set(service, pace);
+    return pace;
   }
 
   private add(backend: Backend): void {
--- a/packages/gateway/src/fleet/engine_pace.ts
+++ b/packages/gateway/src/fleet/engine_pace.ts
@@ -21,10 +21,16 @@
     this.observedMs = nowMs;
   }
 
+  /** Fastest of the latest iterations; `undefined` until there are enough. */
+  get ratio(): number | undefined {
+    if (this.ratios.length < COMPARED_ITERATIONS) return undefined;
+    return Math.min(...this.ratios, MAX_FACTOR);
+  }
+
   /** Factor on the times of the engine; 1 unless it is known to be slow. */
   factor(nowMs: number): number {
-    if (this.ratios.length < COMPARED_ITERATIONS) return 1;
-    const ratio = Math.min(...this.ratios, MAX_FACTOR);
+    const {ratio} = this;
+    if (ratio === undefined) return 1;
     const ageMs = Math.max(0, nowMs - this.observedMs);
     const factor = 1 + (ratio - 1) * 0.5 ** (ageMs / HALF_LIFE_MS);
     return factor < MIN_FACTOR ? 1 : factor;
--- a/packages/gateway/src/peers/peer_facts.ts
+++ b/packages/gateway/src/peers/peer_facts.ts
@@ -1,4 +1,5 @@
 import type {EvacuationView} from '@vanillamux/protocol';
+import type {ColdNotice} from '../cold_backends/cold_notice.js';
 import type {DepartureNotice} from '../departures/departure_notice.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
 import type {ReachNotice} from '../reach/reach_notice.js';
@@ -10,6 +11,7 @@
   readonly quarantine?: QuarantineNotice;
   readonly limits?: RequestLimitNotice;
   readonly departures?: DepartureNotice;
+  readonly cold?: ColdNotice;
   readonly reach?: ReachNotice;
   readonly evacuation?: EvacuationView;
   readonly sync?: SyncKind;
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -13,6 +13,7 @@
   type Result,
 } from '@vanillamux/shared';
 import type {Stream} from 'most';
+import type {ColdNotice} from '../cold_backends/cold_notice.js';
 import type {DepartureNotice} from '../departures/departure_notice.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
@@ -49,6 +50,7 @@
   private readonly quarantineBus = new EventBus<QuarantineNotice>();
   private readonly limitBus = new EventBus<ReceivedLimitNotice>();
   private readonly departureBus = new EventBus<DepartureNotice>();
+  private readonly coldBus = new EventBus<ColdNotice>();
   private readonly reachBus = new EventBus<ReceivedReachNotice>();
   private readonly evacuationBus = new EventBus<EvacuationView>();
   private readonly syncBus = new EventBus<ReceivedSyncNotice>();
@@ -176,6 +178,11 @@
     return this.departureBus.stream();
   }
 
+  /** Streams the notices of other hosts about backend servers that are cold. */
+  coldNotices(): Stream<ColdNotice> {
+    return this.coldBus.stream();
+  }
+
   /** Streams the notices of other hosts about services that they have lost. */
   reachNotices(): Stream<ReceivedReachNotice> {
     return this.reachBus.stream();
@@ -201,6 +208,7 @@
     quarantine,
     limits,
     departures,
+    cold,
     reach,
     evacuation,
     sync,
@@ -219,6 +227,7 @@
       },
       limits: limits && {facts: [], ...limits},
       departures,
+      cold,
       reach,
       evacuation,
       sync,
@@ -255,6 +264,8 @@
       );
     }
     if (notice.quarantine) this.quarantineBus.emit(notice.quarantine);
+    // Emitted before the limits, which may ask for a permit for one of them.
+    if (notice.cold) this.coldBus.emit(notice.cold);
     if (notice.limits) this.limitBus.emit({replyTo, notice: notice.limits});
     if (notice.departures) this.departureBus.emit(notice.departures);
     if (notice.reach)
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -1,5 +1,6 @@
 import {evacuationViewSchema} from '@vanillamux/protocol';
 import {z} from 'zod';
+import {coldNoticeSchema} from '../cold_backends/cold_notice_schema.js';
 import {departureNoticeSchema} from '../departures/departure_notice_schema.js';
 import {requestLimitNoticeSchema} from '../request_limits/request_limit_notice_schema.js';
 import {reachNoticeSchema} from '../reach/reach_notice_schema.js';
@@ -35,6 +36,8 @@
   limits: requestLimitNoticeSchema.optional(),
   /** Backend servers that leave. */
   departures: departureNoticeSchema.optional(),
+  /** Backend servers that are cold. */
+  cold: coldNoticeSchema.optional(),
   /** Services that the sender does not reach. */
   reach: reachNoticeSchema.optional(),
   /** Failure domains that an operator has emptied. */
--- a/packages/gateway/src/placement/engine_cost_model.ts
+++ b/packages/gateway/src/placement/engine_cost_model.ts
@@ -1,3 +1,5 @@
+import type {ColdSlowdown} from '../cold_backends/cold_slowdown.js';
+import {stretchByCold} from '../cold_backends/stretch_by_cold.js';
 import type {EngineSpec} from '../config/engine_spec.js';
 import type {Backend} from '../fleet/backend.js';
 import type {TrackedWork} from '../fleet/tracked_work.js';
@@ -15,6 +17,8 @@
   private readonly baseIterationMs: number;
   /** Factor on the declared times; above 1 for a slow engine. */
   private readonly pace: number;
+  /** Holds for a while, unlike `pace`, so that its end is known beforehand. */
+  private readonly cold: ColdSlowdown;
   private readonly streams: readonly TrackedWork[];
 
   constructor(
@@ -25,6 +29,7 @@
     const entries = backend.work.entries(nowMs);
     this.streams = entries.filter(({decodeMs}) => decodeMs > 0);
     this.pace = backend.pace.factor(nowMs);
+    this.cold = backend.coldSlowdown(nowMs);
     this.backlogMs = this.pace * backend.work.backlogMs(nowMs);
     this.contextTokens = entries.reduce(
       (sum, {contextTokens}) => sum + contextTokens,
@@ -44,19 +49,22 @@
   predictedFirstEventMs(prefillMs: number): number {
     const isBusy = this.streams.length > 0;
     const waitMs = isBusy ? this.baseIterationMs / 2 : 0;
-    return (
+    return stretchByCold(
       waitMs +
-      this.backlogMs +
-      this.pace * prefillMs +
-      this.baseIterationMs +
-      this.queueingDelayMs()
+        this.backlogMs +
+        this.pace * prefillMs +
+        this.baseIterationMs +
+        this.queueingDelayMs(),
+      this.cold,
     );
   }
 
   /** Expected loss of the requests on the engine when work is added. */
   predictedLoss(addedPrefillMs: number): number {
-    const addedMs = this.pace * addedPrefillMs;
-    const pauseMs = this.baseIterationMs + this.backlogMs;
+    const paceMs = this.pace * addedPrefillMs;
+    const pacePauseMs = this.baseIterationMs + this.backlogMs;
+    const pauseMs = stretchByCold(pacePauseMs, this.cold);
+    const addedMs = stretchByCold(pacePauseMs + paceMs, this.cold) - pauseMs;
     let loss = 0;
     for (const stream of this.streams) {
       loss += this.isStreaming(stream)
--- a/packages/gateway/src/placement/observe_pace.ts
+++ b/packages/gateway/src/placement/observe_pace.ts
@@ -7,7 +7,7 @@
  * each of which ends an iteration.
  */
 export function observePace(
-  {work, pace}: Backend,
+  {work, pace, cold, coldPace}: Backend,
   spec: EngineSpec,
   {pauseMs, nowMs}: {readonly pauseMs: number; readonly nowMs: number},
 ): void {
@@ -17,8 +17,10 @@
     (sum, stream) => sum + stream.contextTokens,
     0,
   );
-  pace.observe(
-    pauseMs / iterationMs(spec, streams.length, contextTokens),
-    nowMs,
-  );
+  const ratio = pauseMs / iterationMs(spec, streams.length, contextTokens);
+  pace.observe(ratio, nowMs);
+  if (!cold.isCold(nowMs)) return;
+  cold.pace.observe(ratio, nowMs);
+  const coldRatio = cold.pace.ratio;
+  if (coldRatio !== undefined) coldPace.observe(coldRatio);
 }
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -95,11 +95,18 @@
 
   private reportSilence(timeoutMs: number): void {
     this.isSilent = true;
-    if (!this.hasResponded) this.options.destination.recordNoResponse();
-    this.decision.backend.failures.recordSilence(monotonicMs());
+    this.recordSilence();
     this.options.onSilent(`silent for ${Math.round(timeoutMs)} ms`);
   }
 
+  /** A cold backend server is slow: its silence is no sign of a fault. */
+  private recordSilence(): void {
+    const {cold, failures} = this.decision.backend;
+    if (cold.isCold(monotonicMs())) return;
+    if (!this.hasResponded) this.options.destination.recordNoResponse();
+    failures.recordSilence(monotonicMs());
+  }
+
   /** Records bytes of the backend server, which end a silence. */
   protected recordBytes(): void {
     this.stopWaiting();
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -102,9 +102,18 @@
     return components.backends.isEmptied(service);
   }
 
-  /** Returns the engines of a decision that require a permit. */
+  /**
+   * Returns the engines of a decision that require a permit, one that requires
+   * several as often.
+   */
   limitedEngines(decision: PlacementDecision): Backend[] {
-    return [...this.limitedOf(listEngines(decision))];
+    const {requestLimits} = this.options.components;
+    // An engine that reserves memory also gets the order to do so.
+    const engines = [
+      ...listEngines(decision),
+      ...decision.memory.map(share => share.backend),
+    ];
+    return engines.filter(backend => requestLimits.requiresPermit(backend));
   }
 
   /** Returns those of the backend servers that have a request limit. */
@@ -139,7 +148,7 @@
     const {requestLimits} = this.options.components;
     return (
       this.deniedPermits < MAX_DENIED_PERMITS ||
-      !requestLimits.isLimited(backend)
+      !requestLimits.requiresPermit(backend)
     );
   }
 
--- a/packages/gateway/src/request_limits/permit_issuer.ts
+++ b/packages/gateway/src/request_limits/permit_issuer.ts
@@ -1,4 +1,5 @@
 import {TokenBucket} from '@vanillamux/limits';
+import type {PermitRate} from './permit_rate.js';
 import type {RequestLimitFact} from './request_limit_fact.js';
 
 /**
@@ -21,15 +22,25 @@
   constructor(private readonly now?: () => number) {}
 
   /** Issues a permit. Returns 0, or the milliseconds until one is due. */
-  issue({backend, perSecond}: RequestLimitFact): number {
+  issue({backend, perSecond}: RequestLimitFact, cold?: PermitRate): number {
     const tokensPerSecond = Math.max(
       MIN_PERMITS_PER_S,
       PLANNED_SHARE * (perSecond ?? 0),
     );
-    const rate = {
-      tokensPerSecond,
-      burstTokens: Math.max(1, BURST_S * tokensPerSecond),
-    };
+    return this.issueAt(backend, {
+      tokensPerSecond: Math.min(
+        tokensPerSecond,
+        cold?.tokensPerSecond ?? Infinity,
+      ),
+      burstTokens: Math.min(
+        Math.max(1, BURST_S * tokensPerSecond),
+        cold?.burstTokens ?? Infinity,
+      ),
+    });
+  }
+
+  /** Issues a permit for a backend server without a limit, as `issue` does. */
+  issueAt(backend: string, rate: PermitRate): number {
     let bucket = this.buckets.get(backend);
     if (bucket) bucket.reconfigure(rate);
     else {
--- a/packages/gateway/src/request_limits/request_limit_manager.ts
+++ b/packages/gateway/src/request_limits/request_limit_manager.ts
@@ -1,24 +1,19 @@
 import {chooseOwner} from '@vanillamux/routing';
-import {
-  Deferred,
-  getLogger,
-  monotonicMs,
-  type Address,
-} from '@vanillamux/shared';
+import {getLogger, monotonicMs, type Address} from '@vanillamux/shared';
+import type {ColdBackends} from '../cold_backends/cold_backends.js';
 import type {Backend} from '../fleet/backend.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import {FactSource} from '../peers/fact_source.js';
 import type {PeerFacts} from '../peers/peer_facts.js';
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
+import {PermitClient} from './permit_client.js';
 import {PermitIssuer} from './permit_issuer.js';
 import {PermitVerdict} from './permit_verdict.js';
 import type {RequestLimitFact} from './request_limit_fact.js';
 import type {RequestLimitNotice} from './request_limit_notice.js';
 import {RequestLimitTable} from './request_limit_table.js';
 
-/** Time for an owner's reply: some round trips between failure domains. */
-const REPLY_TIMEOUT_MS = 50;
 /** Time for which a backend server is avoided whose owner does not reply. */
 const NO_OWNER_WAIT_MS = 250;
 const MAX_FACTS_PER_NOTICE = 8;
@@ -32,14 +27,16 @@
   readonly notices: PeerNotices;
   readonly backends: BackendPool;
   readonly metrics: Pick<GatewayMetrics, 'countPermit'>;
+  /** Backend servers that require permits while they are cold. */
+  readonly cold?: Pick<ColdBackends, 'factOf' | 'merge' | 'permitRate'>;
   /** Returns the ids of the entry hosts; none while they are not known. */
   readonly hostIds: () => readonly string[];
 }
 
 /**
  * Keeps the requests of all entry hosts together below the limits that backend
- * servers name. Every host learns of a limit; one host, by rendezvous hash, owns
- * a limited backend server and issues the permits that each request to it
+ * servers name, and below what cold ones stand. Every host learns of a limit; one host, by rendezvous hash, owns
+ * such a backend server and issues the permits that each request to it
  * requires. A host that cannot reach the owner sends nothing there.
  */
 export class RequestLimitManager extends FactSource {
@@ -47,11 +44,11 @@
   private readonly issuer = new PermitIssuer();
   /** When the next permit may be due, by backend server. */
   private readonly nextPermitMs = new WeakMap<Backend, number>();
-  private readonly pending = new Map<number, Deferred<number | undefined>>();
-  private nextId = 0;
+  private readonly client: PermitClient;
 
   constructor(private readonly options: RequestLimitManagerOptions) {
     super();
+    this.client = new PermitClient(options.notices);
     void options.notices
       .limitNotices()
       .observe(({replyTo, notice}) => this.receive(replyTo, notice));
@@ -71,14 +68,20 @@
     return this.table.size;
   }
 
-  /** Whether a request to the backend server requires a permit. */
+  /** Whether the backend server names a limit. */
   isLimited(backend: Backend): boolean {
     return this.table.get(backend) !== undefined;
   }
 
+  /** Whether a request to the backend server requires a permit. */
+  requiresPermit(backend: Backend): boolean {
+    const {cold} = this.options;
+    return this.isLimited(backend) || cold?.permitRate(backend) !== undefined;
+  }
+
   /** Time until a permit may be available, in milliseconds; 0 if it may be now. */
   waitMs(backend: Backend, nowMs: number): number {
-    if (!this.isLimited(backend)) return 0;
+    if (!this.requiresPermit(backend)) return 0;
     return Math.max(0, (this.nextPermitMs.get(backend) ?? 0) - nowMs);
   }
 
@@ -96,7 +99,7 @@
   }
 
   /**
-   * Acquires a permit for each of the backend servers that is limited. Returns
+   * Acquires a permit for each of the backend servers that requires one. Returns
    * whether all were granted; a denied one is not available until `waitMs`.
    */
   async acquire(
@@ -113,10 +116,11 @@
     requestId: string,
     backend: Backend,
   ): Promise<boolean> {
+    if (!this.requiresPermit(backend)) return true;
+    const {id} = backend.presence;
     const fact = this.table.get(backend);
-    if (!fact) return true;
-    const owner = chooseOwner(fact.backend, this.options.hostIds());
-    const waitMs = await this.askOwner(owner, fact);
+    const owner = chooseOwner(id, this.options.hostIds());
+    const waitMs = await this.askOwner(owner, backend);
     const verdict =
       waitMs === undefined
         ? PermitVerdict.TimedOut
@@ -129,9 +133,10 @@
     this.nextPermitMs.set(backend, monotonicMs() + avoidMs);
     log.info('No permit for a backend server with a request limit.', {
       request: requestId,
-      backend: fact.backend,
-      limitPerS: fact.perSecond,
-      generation: fact.generation,
+      backend: id,
+      limitPerS: fact?.perSecond,
+      generation: fact?.generation,
+      coldForMs: Math.round(backend.cold.leftMs(monotonicMs())),
       owner,
       verdict,
       waitMs: avoidMs,
@@ -145,33 +150,38 @@
    */
   private async askOwner(
     owner: string | undefined,
-    fact: RequestLimitFact,
+    backend: Backend,
   ): Promise<number | undefined> {
+    const {id: ownId, cold} = this.options;
     if (owner === undefined) return NO_OWNER_WAIT_MS;
-    if (owner === this.options.id) return this.issuer.issue(fact);
-    const id = this.nextId++;
-    const reply = new Deferred<number | undefined>();
-    this.pending.set(id, reply);
-    this.options.notices.sendFactsTo(owner, {
-      limits: {permitRequest: {id, fact}},
+    if (owner === ownId) return this.issue(backend);
+    const limit = this.table.get(backend);
+    const coldFact = cold?.permitRate(backend) && cold.factOf(backend);
+    return this.client.ask(owner, id => {
+      if (coldFact) return {coldPermitRequest: {id, cold: coldFact, limit}};
+      return {permitRequest: limit && {id, fact: limit}};
     });
-    const timer = setTimeout(() => reply.resolve(undefined), REPLY_TIMEOUT_MS);
-    const waitMs = await reply.promise;
-    clearTimeout(timer);
-    this.pending.delete(id);
-    return waitMs;
   }
 
   private receive(replyTo: Address, notice: RequestLimitNotice): void {
-    const {facts = [], permitRequest, permitReply} = notice;
+    const {facts = [], permitRequest, coldPermitRequest, permitReply} = notice;
     for (const fact of facts) this.merge(fact);
-    if (permitReply)
-      this.pending.get(permitReply.id)?.resolve(permitReply.waitMs);
-    if (!permitRequest) return;
-    const {id, fact} = permitRequest;
-    this.merge(fact);
+    if (permitReply) this.client.receive(permitReply);
+    if (permitRequest) {
+      this.merge(permitRequest.fact);
+      this.reply(replyTo, permitRequest.id, permitRequest.fact.backend);
+    }
+    if (coldPermitRequest) {
+      const {id, cold, limit} = coldPermitRequest;
+      if (limit) this.merge(limit);
+      this.options.cold?.merge(cold);
+      this.reply(replyTo, id, cold.backend);
+    }
+  }
+
+  private reply(replyTo: Address, id: number, backendId: string): void {
     this.options.notices.replyTo(replyTo, {
-      limits: {permitReply: {id, waitMs: this.issueFor(fact.backend)}},
+      limits: {permitReply: {id, waitMs: this.issueFor(backendId)}},
     });
   }
 
@@ -179,9 +189,17 @@
   private issueFor(backendId: string): number {
     const {id, hostIds, backends} = this.options;
     const backend = backends.get(backendId);
-    const fact = backend && this.table.get(backend);
     const isOwner = chooseOwner(backendId, hostIds()) === id;
-    return fact && isOwner ? this.issuer.issue(fact) : NO_OWNER_WAIT_MS;
+    return backend && isOwner ? this.issue(backend) : NO_OWNER_WAIT_MS;
+  }
+
+  /** Issues a permit; none for a backend server that requires none. */
+  private issue(backend: Backend): number {
+    const fact = this.table.get(backend);
+    const rate = this.options.cold?.permitRate(backend);
+    if (fact) return this.issuer.issue(fact, rate);
+    if (rate) return this.issuer.issueAt(backend.presence.id, rate);
+    return NO_OWNER_WAIT_MS;
   }
 
   private merge(fact: RequestLimitFact): void {
--- a/packages/gateway/src/request_limits/request_limit_notice_schema.ts
+++ b/packages/gateway/src/request_limits/request_limit_notice_schema.ts
@@ -1,4 +1,5 @@
 import {z} from 'zod';
+import {coldFactSchema} from '../cold_backends/cold_fact_schema.js';
 import {requestLimitFactSchema} from './request_limit_fact_schema.js';
 
 /** Bound on what one notice may carry. */
@@ -11,6 +12,18 @@
   permitRequest: z
     .object({id: z.number().int(), fact: requestLimitFactSchema})
     .optional(),
+  /**
+   * Asks the owner of a cold backend server for a permit; one of an earlier
+   * version doesn't reply.
+   */
+  coldPermitRequest: z
+    .object({
+      id: z.number().int(),
+      cold: coldFactSchema,
+      /** Its request limit, if it names one too. */
+      limit: requestLimitFactSchema.optional(),
+    })
+    .optional(),
   /** Answers with the time until a permit is due; 0 grants one. */
   permitReply: z
     .object({id: z.number().int(), waitMs: z.number().min(0)})
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -17,6 +17,7 @@
 } from '@vanillamux/shared';
 import {createAdmissionPolicy} from '../admission/create_admission_policy.js';
 import {ByteBudget} from '../bytes/byte_budget.js';
+import {ColdBackends} from '../cold_backends/cold_backends.js';
 import {ConnectionPools} from '../connection/connection_pools.js';
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
@@ -86,6 +87,9 @@
 /** Maximum size of a header block; configured limits are below it. */
 const MAX_HEADER_BYTES = 64 * 1_024;
 
+/** Factor on cold rates where the settings name none. */
+const DEFAULT_COLD_OVERSHOOT = 1;
+
 const log = getLogger('gateway');
 
 /** Options of a `Gateway`. */
@@ -116,6 +120,7 @@
   private readonly roster = new PeerRoster();
   private readonly quarantine: QuarantineManager;
   private readonly requestLimits: RequestLimitManager;
+  private readonly coldBackends: ColdBackends;
   private readonly departures: DepartureManager;
   private readonly evacuation: EvacuationManager;
   private readonly reach = new ServiceReach();
@@ -170,11 +175,22 @@
       metrics: this.metrics,
       hostIds: this.hostIds,
     });
+    const {coldBackends} = settings;
+    this.coldBackends = new ColdBackends({
+      bounds: {
+        overshoot: coldBackends.overshoot ?? DEFAULT_COLD_OVERSHOOT,
+        allowance: coldBackends.allowance ?? 0,
+      },
+      notices: this.notices,
+      backends: this.backends,
+      configStore: this.config,
+    });
     this.requestLimits = new RequestLimitManager({
       id: settings.id,
       notices: this.notices,
       backends: this.backends,
       metrics: this.metrics,
+      cold: this.coldBackends,
       hostIds: this.hostIds,
     });
     this.departures = new DepartureManager({
@@ -211,6 +227,7 @@
         this.requestLimits,
         this.departures,
         this.evacuation,
+        this.coldBackends,
         this.peerReach,
       ],
     });
@@ -420,6 +437,7 @@
       limitedBackends: () => this.requestLimits.size,
       leavingBackends: () => this.backends.departures.size,
       emptiedDomains: () => this.backends.emptied.size,
+      coldBackends: () => this.coldBackends.size,
       lostServices: () => this.reach.lostServices().length,
       cutOffPeers: () => this.peerReach.size,
       controlHosts: () => this.links.hosts().length,
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -18,6 +18,8 @@
   leavingBackends(): number;
   /** Failure domains that an operator has emptied. */
   emptiedDomains(): number;
+  /** Backend servers that are cold. */
+  coldBackends(): number;
   /** Services that the host seems to be cut off from. */
   lostServices(): number;
   /** Entry hosts that have said, or shown, that they are cut off from a service. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -160,6 +160,11 @@
         'Failure domains that an operator has emptied.',
         () => gauges.emptiedDomains(),
       ],
+      [
+        'vmux_gateway_cold_backends',
+        'Backend servers that are cold.',
+        () => gauges.coldBackends(),
+      ],
       [
         'vmux_gateway_lost_services',
         'Services none of whose backend servers this host reaches.',
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -20,6 +20,15 @@
   })
   .strict();
 
+const coldBackendsSchema = z
+  .object({
+    /** Factor on the cold rate of a service, for any second. */
+    overshoot: z.number().min(0).nullish(),
+    /** Requests of any second beyond it. */
+    allowance: z.number().min(0).nullish(),
+  })
+  .strict();
+
 /** Settings of a gateway. */
 export const gatewaySettingsSchema = z
   .object({
@@ -46,6 +55,8 @@
     admission: z
       .nativeEnum(AdmissionPolicyName)
       .default(AdmissionPolicyName.Backlog),
+    /** Bounds on the requests of cold backend servers. */
+    coldBackends: coldBackendsSchema.default({}),
     retries: retrySchema.default({}),
     /** Time within which the load balancer notices that the host drains. */
     drainNoticeMs: z.number().min(0).default(DEFAULT_DRAIN_NOTICE_MS),
--- a/packages/protocol/src/presence_schema.ts
+++ b/packages/protocol/src/presence_schema.ts
@@ -5,6 +5,8 @@
 /** Far above what a backend server runs at a time. */
 const MAX_CAPACITY = 1_000_000;
 const MAX_NAME_LENGTH = 256;
+/** Far above the time for which a backend server is cold. */
+const MAX_COLD_MS = 3_600_000;
 
 const nameSchema = z.string().max(MAX_NAME_LENGTH);
 /** Larger numbers lose digits, and JSON has no infinite ones. */
@@ -29,4 +31,9 @@
   failureDomain: nameSchema,
   /** Maximum number of concurrent requests. */
   capacity: z.number().int().min(0).max(MAX_CAPACITY),
+  /**
+   * Time for which it stays cold from when the report is received; left out by
+   * one that is not cold.
+   */
+  coldForMs: z.number().min(0).max(MAX_COLD_MS).optional(),
 });
