--- a/packages/gateway/src/request_limits/request_limit_manager.ts
+++ b/packages/gateway/src/request_limits/request_limit_manager.ts
@@ -31,6 +31,8 @@
   readonly cold?: Pick<ColdBackends, 'factOf' | 'merge' | 'permitRate'>;
   /** Returns the ids of the entry hosts; none while they are not known. */
   readonly hostIds: () => readonly string[];
+  /** Clock of the permits that this host issues. */
+  readonly now?: () => number;
 }
 
 /**
@@ -41,13 +43,14 @@
  */
 export class RequestLimitManager extends FactSource {
   private readonly table = new RequestLimitTable();
-  private readonly issuer = new PermitIssuer();
+  private readonly issuer: PermitIssuer;
   /** When the next permit may be due, by backend server. */
   private readonly nextPermitMs = new WeakMap<Backend, number>();
   private readonly client: PermitClient;
 
   constructor(private readonly options: RequestLimitManagerOptions) {
     super();
+    this.issuer = new PermitIssuer(options.now);
     this.client = new PermitClient(options.notices);
     void options.notices
       .limitNotices()
