--- a/packages/gateway/__tests__/cold_domain_returns.test.ts
+++ b/packages/gateway/__tests__/cold_domain_returns.test.ts
@@ -92,6 +92,7 @@
         expectedOutputTokens: 1_600,
         maxOutputTokens: 1_600,
       },
+      maxHelperEntries: 16,
       candidates: host.view,
       nowMs,
       waitedMs: 0,
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -103,17 +103,17 @@
   }
 
   /**
-   * Returns the engines of a decision that require a permit, one that requires
-   * several as often.
+   * Returns the engines of a decision that require a permit. A cold one that
+   * reserves memory requires two, as the order to do so counts as well.
    */
   limitedEngines(decision: PlacementDecision): Backend[] {
     const {requestLimits} = this.options.components;
-    // An engine that reserves memory also gets the order to do so.
-    const engines = [
-      ...listEngines(decision),
-      ...decision.memory.map(share => share.backend),
-    ];
-    return engines.filter(backend => requestLimits.requiresPermit(backend));
+    const reserving = decision.memory
+      .map(({backend}) => backend)
+      .filter(backend => !requestLimits.isLimited(backend));
+    return [...listEngines(decision), ...reserving].filter(backend =>
+      requestLimits.requiresPermit(backend),
+    );
   }
 
   /** Returns those of the backend servers that have a request limit. */
