feat(gateway): requests are served in the regions that their route and workspace name

What callers saw: allowed_regions was ignored. Change: HomePolicy decides by the present configuration and the setting regionByFailureDomain; candidates and relays ask it.

--- a/packages/gateway/__tests__/evacuation.test.ts
+++ b/packages/gateway/__tests__/evacuation.test.ts
@@ -153,6 +153,7 @@
         components: {backends} as unknown as GatewayComponents,
         service: 'notes',
         requestId: 'r',
+        mayUse: () => true,
       });
       assert.equal(candidates.isOutdated(decision, 0), isOutdated);
     });
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -157,6 +157,7 @@
       }),
     },
     admission: createAdmissionPolicy(AdmissionPolicyName.Open),
+    homes: {mayUse: () => true},
     retryBudget: {countRequest: () => undefined, acquire: () => true},
     notices: {tell: () => undefined, tellEnd: () => undefined},
     quarantine: {
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -64,6 +64,7 @@
     },
     memory: {reserve: async () => []},
     admission: createAdmissionPolicy(AdmissionPolicyName.Open),
+    homes: {mayUse: () => true},
     notices: {tell: () => {}, tellEnd: () => {}},
     requestLimits: {
       waitMs: () => 0,
--- a/packages/gateway/src/config/route_spec.ts
+++ b/packages/gateway/src/config/route_spec.ts
@@ -24,6 +24,8 @@
   readonly targets: readonly RouteTarget[];
   /** Most attempts of one request, not counting those that did not run. */
   readonly maxAttempts: number;
+  /** Regions in which requests may be served; all if absent. */
+  readonly regions?: readonly string[];
   /** Whether requests need no API key. */
   readonly isAnonymous: boolean;
 }
--- a/packages/gateway/src/config/route_table.ts
+++ b/packages/gateway/src/config/route_table.ts
@@ -5,11 +5,16 @@
 
 /** Indexes a configuration by host name, path prefix, service and key. */
 export class RouteTable {
+  /** Whether a route or a workspace names regions. */
+  readonly hasHomes: boolean;
   private readonly routesByHost = new Map<string, Map<string, RouteSpec>>();
   private readonly servicesByName: ReadonlyMap<string, ServiceSpec>;
   private readonly workspaceByKey = new Map<string, WorkspaceSpec>();
 
   constructor(readonly config: GatewayConfig) {
+    this.hasHomes = [...config.routes, ...config.workspaces].some(
+      ({regions}) => regions !== undefined,
+    );
     for (const route of config.routes) {
       const routesByPrefix = this.routesByHost.get(route.host) ?? new Map();
       routesByPrefix.set(route.pathPrefix, route);
--- a/packages/gateway/src/config/workspace_spec.ts
+++ b/packages/gateway/src/config/workspace_spec.ts
@@ -2,6 +2,8 @@
 export interface WorkspaceSpec {
   readonly name: string;
   readonly keys: readonly string[];
+  /** Regions in which its requests may be served; all if absent. */
+  readonly regions?: readonly string[];
   /** Priority of the workspace's requests; 0 is the most urgent. */
   readonly priority: number;
 }
--- a/packages/gateway/src/request/client_request.ts
+++ b/packages/gateway/src/request/client_request.ts
@@ -14,6 +14,8 @@
   readonly service: ServiceSpec;
   /** Workspace of the API key; absent if no key was required. */
   readonly workspace?: string;
+  /** Regions that it may be served in, as admitted; all if absent. */
+  readonly regions?: readonly string[];
   readonly priority: number;
   readonly body: Buffer;
   /** Called to give back bytes once the response was handed over. */
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -4,6 +4,7 @@
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {BackendSignals} from '../fleet/backend_signals.js';
+import type {HomePolicy} from '../homes/home_policy.js';
 import type {ConfigStore} from '../link/config_store.js';
 import type {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import type {FactSync} from '../peers/fact_sync.js';
@@ -25,6 +26,7 @@
   readonly dialect: Dialect;
   readonly configStore: ConfigStore;
   readonly backends: BackendPool;
+  readonly homes: HomePolicy;
   readonly connections: ConnectionPools;
   readonly placements: PlacementPolicies;
   readonly admission: AdmissionPolicy;
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -10,11 +10,13 @@
   readonly components: Pick<GatewayComponents, 'backends' | 'requestLimits'>;
   readonly service: string;
   readonly requestId: string;
+  /** Whether the request may be sent to a failure domain. */
+  readonly mayUse: (failureDomain: string) => boolean;
 }
 
 /**
- * Backend servers that the next attempt of a request may use: those that no
- * attempt has used, as far as their request limits and pauses allow.
+ * Backend servers that the next attempt of a request may use: those at its homes
+ * that no attempt has used, as far as their request limits and pauses allow.
  */
 export class RequestCandidates {
   private readonly attempted = new Set<Backend>();
@@ -28,9 +30,12 @@
     return this.attempted.size > 0;
   }
 
-  /** Whether an attempt has used a backend server or entry host. */
+  /**
+   * Whether an attempt has used a backend server or entry host, or it is at no
+   * home of the request.
+   */
   isExcluded(backend: Backend): boolean {
-    return this.attempted.has(backend);
+    return this.attempted.has(backend) || !this.isHome(backend);
   }
 
   /** Excludes a backend server from further attempts. */
@@ -74,10 +79,7 @@
    * request, in milliseconds; 0 if one may now, or none is known.
    */
   availableInMs(nowMs: number): number {
-    const {components, service} = this.options;
-    const waitsMs = components.backends
-      .candidates(service)
-      .map(backend => this.waitMs(backend, nowMs));
+    const waitsMs = this.atHome().map(backend => this.waitMs(backend, nowMs));
     return waitsMs.length === 0 ? 0 : Math.min(...waitsMs);
   }
 
@@ -136,10 +138,18 @@
   }
 
   private unattempted(): Backend[] {
+    return this.atHome().filter(backend => !this.attempted.has(backend));
+  }
+
+  private atHome(): Backend[] {
     const {components, service} = this.options;
     return components.backends
       .candidates(service)
-      .filter(backend => !this.attempted.has(backend));
+      .filter(backend => this.isHome(backend));
+  }
+
+  private isHome({presence}: Backend): boolean {
+    return this.options.mayUse(presence.failureDomain);
   }
 
   /** Whether this host may send to the backend server, or ask for a permit. */
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -5,6 +5,7 @@
 import type {RouteSpec} from '../config/route_spec.js';
 import type {RouteTable} from '../config/route_table.js';
 import type {RequestMetadata} from '../dialect/request_metadata.js';
+import {allowedRegions} from '../homes/allowed_regions.js';
 import {RelayDirection} from '../relay/relay_direction.js';
 import {RelayOutcome} from '../relay/relay_outcome.js';
 import {relayOutcomeHeaders} from '../relay/relay_outcome_headers.js';
@@ -212,6 +213,7 @@
       service,
       relay,
       workspace: workspace?.name,
+      regions: allowedRegions(route, workspace),
       priority: workspace?.priority ?? route.priority,
       body: body.value,
       onRelease: release => releases.push(release),
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -96,6 +96,7 @@
       components,
       service: request.service.name,
       requestId: request.metadata.requestId,
+      mayUse: failureDomain => components.homes.mayUse(request, failureDomain),
     });
   }
 
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -25,6 +25,7 @@
 import {EvacuationManager} from '../evacuation/evacuation_manager.js';
 import {BackendPool, type ReportBatch} from '../fleet/backend_pool.js';
 import {BackendSignals} from '../fleet/backend_signals.js';
+import {HomePolicy} from '../homes/home_policy.js';
 import {ConfigStore} from '../link/config_store.js';
 import {ControlLinks} from '../link/control_links.js';
 import type {LinkListener} from '../link/link_listener.js';
@@ -392,6 +393,10 @@
       dialect,
       configStore: this.config,
       backends: this.backends,
+      homes: new HomePolicy({
+        configStore: this.config,
+        regionByFailureDomain: settings.regionByFailureDomain,
+      }),
       connections: this.connections,
       placements: new PlacementPolicies(
         settings.placement,
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -34,6 +34,11 @@
   .object({
     id: z.string().min(1),
     failureDomain: z.string().min(1),
+    /** Region of each failure domain of the deployment. */
+    regionByFailureDomain: z
+      .record(z.string())
+      .nullish()
+      .transform(regions => regions ?? {}),
     /** Address for clients. */
     listen: addressSchema,
     /** Address of the readiness probe of the load balancer. */
