--- a/packages/gateway/src/dialect/response_metadata.ts
+++ b/packages/gateway/src/dialect/response_metadata.ts
@@ -10,6 +10,11 @@
    * `undefined` if it names no limit.
    */
   readonly requestLimitPerS?: number;
+  /**
+   * Time for which the backend server stays cold, in milliseconds; `undefined` if
+   * the response doesn't say.
+   */
+  readonly coldForMs?: number;
   /** Whether the backend server says that it leaves. */
   readonly isLeaving?: boolean;
   /**
--- a/packages/gateway/src/fleet/backend_signals.ts
+++ b/packages/gateway/src/fleet/backend_signals.ts
@@ -12,19 +12,27 @@
   readonly metrics: Pick<GatewayMetrics, 'countPause'>;
 }
 
-/** Acts on what a backend server says of itself: it leaves, or wants a pause. */
+/**
+ * Acts on what a backend server says of itself: it leaves, is cold, or wants a
+ * pause.
+ */
 export class BackendSignals {
   constructor(private readonly options: BackendSignalsOptions) {}
 
   /** Learns from a response of the backend server itself. */
   learn(
     backend: Backend,
-    {isLeaving, pauseMs = 0}: Pick<ResponseMetadata, 'isLeaving' | 'pauseMs'>,
+    {
+      isLeaving,
+      coldForMs,
+      pauseMs = 0,
+    }: Pick<ResponseMetadata, 'isLeaving' | 'coldForMs' | 'pauseMs'>,
     requestId: string,
   ): void {
     if (isLeaving) this.options.departures.learn(backend, requestId);
-    if (pauseMs <= 0) return;
     const nowMs = monotonicMs();
+    if (coldForMs !== undefined) backend.cold.recordResponse(coldForMs, nowMs);
+    if (pauseMs <= 0) return;
     const {id, service, incarnation} = backend.presence;
     log.info('A backend server wants a pause.', {
       request: requestId,
--- a/packages/gateway/src/placement/least_outstanding_placement_policy.ts
+++ b/packages/gateway/src/placement/least_outstanding_placement_policy.ts
@@ -37,11 +37,8 @@
 
   private cost(backend: Backend, nowMs: number): number {
     const isCrossDomain = backend.presence.failureDomain !== this.failureDomain;
-    const {factor} = backend.coldSlowdown(nowMs);
-    const load = backend.estimateLoad(nowMs);
     return (
-      load +
-      (factor - 1) * (load + 1) +
+      backend.estimateLoad(nowMs) +
       (isCrossDomain ? CROSS_DOMAIN_PENALTY : 0) +
       FAILURE_PENALTY * backend.failures.failureRate(nowMs) +
       MAX_JITTER * this.random()
