feat(gateway): the fleet learns which backend servers fail

A server that fails a part of its requests while its health is good was avoided by each host after a failure of its own callers. Hosts now tell each other the sum of the failures that they know, judge it against the other servers of the service, avoid the server for 0.8 s, try it with requests that may be repeated, and use it again after 1.8 s. In force from 30 hosts on.

--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -22,6 +22,7 @@
     leavingBackends: () => 1,
     emptiedDomains: () => 1,
     coldBackends: () => 1,
+    failingBackends: () => 1,
     lostServices: () => 0,
     cutOffPeers: () => 0,
     quarantinedRequests: () => 1,
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -149,7 +149,7 @@
       emptied: new EmptiedDomains(),
       isEmptied: () => false,
     },
-    backendSignals: {learn: () => undefined},
+    backendSignals: {learn: () => undefined, learnStatus: () => undefined},
     connections: createConnections(async () => succeed(chunks.shift())),
     placements: {
       for: () => ({
--- a/packages/gateway/src/fleet/backend.ts
+++ b/packages/gateway/src/fleet/backend.ts
@@ -2,6 +2,7 @@
 import {ColdPace} from '../cold_backends/cold_pace.js';
 import type {ColdSlowdown} from '../cold_backends/cold_slowdown.js';
 import {ColdStretch} from '../cold_backends/cold_stretch.js';
+import {FailureEvidence} from '../failing_backends/failure_evidence.js';
 import type {LoadReport} from '../dialect/load_report.js';
 import {EnginePace} from './engine_pace.js';
 import {FailureTracker} from './failure_tracker.js';
@@ -14,6 +15,7 @@
 /** One incarnation of a backend server, as this entry host knows it. */
 export class Backend {
   readonly failures = new FailureTracker();
+  readonly evidence = new FailureEvidence();
   readonly work = new WorkTracker();
   readonly pause = new RequestPause();
   readonly pace = new EnginePace();
--- a/packages/gateway/src/peers/peer_notices.ts
+++ b/packages/gateway/src/peers/peer_notices.ts
@@ -15,6 +15,7 @@
 import type {Stream} from 'most';
 import type {ColdNotice} from '../cold_backends/cold_notice.js';
 import type {DepartureNotice} from '../departures/departure_notice.js';
+import type {FailureNotice} from '../failing_backends/failure_notice.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {PlacedWork} from '../placement/placed_work.js';
 import type {QuarantineNotice} from '../quarantine/quarantine_notice.js';
@@ -51,6 +52,7 @@
   private readonly limitBus = new EventBus<ReceivedLimitNotice>();
   private readonly departureBus = new EventBus<DepartureNotice>();
   private readonly coldBus = new EventBus<ColdNotice>();
+  private readonly failureBus = new EventBus<FailureNotice>();
   private readonly reachBus = new EventBus<ReceivedReachNotice>();
   private readonly evacuationBus = new EventBus<EvacuationView>();
   private readonly syncBus = new EventBus<ReceivedSyncNotice>();
@@ -183,6 +185,11 @@
     return this.coldBus.stream();
   }
 
+  /** Streams the notices of other hosts about backend servers that fail. */
+  failureNotices(): Stream<FailureNotice> {
+    return this.failureBus.stream();
+  }
+
   /** Streams the notices of other hosts about services that they have lost. */
   reachNotices(): Stream<ReceivedReachNotice> {
     return this.reachBus.stream();
@@ -209,6 +216,7 @@
     limits,
     departures,
     cold,
+    failures,
     reach,
     evacuation,
     sync,
@@ -228,6 +236,7 @@
       limits: limits && {facts: [], ...limits},
       departures,
       cold,
+      failures,
       reach,
       evacuation,
       sync,
@@ -268,6 +277,7 @@
     if (notice.cold) this.coldBus.emit(notice.cold);
     if (notice.limits) this.limitBus.emit({replyTo, notice: notice.limits});
     if (notice.departures) this.departureBus.emit(notice.departures);
+    if (notice.failures) this.failureBus.emit(notice.failures);
     if (notice.reach)
       this.reachBus.emit({from: notice.from, notice: notice.reach});
     if (notice.evacuation) this.evacuationBus.emit(notice.evacuation);
--- a/packages/gateway/src/peers/placement_notice_schema.ts
+++ b/packages/gateway/src/peers/placement_notice_schema.ts
@@ -2,6 +2,7 @@
 import {z} from 'zod';
 import {coldNoticeSchema} from '../cold_backends/cold_notice_schema.js';
 import {departureNoticeSchema} from '../departures/departure_notice_schema.js';
+import {failureNoticeSchema} from '../failing_backends/failure_notice_schema.js';
 import {requestLimitNoticeSchema} from '../request_limits/request_limit_notice_schema.js';
 import {reachNoticeSchema} from '../reach/reach_notice_schema.js';
 import {quarantineNoticeSchema} from '../quarantine/quarantine_notice_schema.js';
@@ -38,6 +39,8 @@
   departures: departureNoticeSchema.optional(),
   /** Backend servers that are cold. */
   cold: coldNoticeSchema.optional(),
+  /** Backend servers that fail requests. */
+  failures: failureNoticeSchema.optional(),
   /** Services that the sender does not reach. */
   reach: reachNoticeSchema.optional(),
   /** Failure domains that an operator has emptied. */
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -68,7 +68,7 @@
     components.backends.reachability.recordResponse(failureDomain);
     if (metadata.load) backend.recordLoad(metadata.load, monotonicMs());
     this.learnRequestLimit(metadata);
-    this.learnSignals(metadata);
+    this.learnSignals(metadata, status);
     if (metadata.verdict === ResponseVerdict.Malformed)
       this.reportMalformed(status);
     return this.checkResponse(metadata);
@@ -133,11 +133,14 @@
     );
   }
 
-  private learnSignals(metadata: ResponseMetadata): void {
+  private learnSignals(metadata: ResponseMetadata, status: number): void {
     if (!isOwnResponse(metadata.verdict)) return;
     const {components, decision, request} = this.options;
     const {requestId} = request.metadata;
-    components.backendSignals.learn(decision.backend, metadata, requestId);
+    const {backendSignals} = components;
+    backendSignals.learn(decision.backend, metadata, requestId);
+    if (metadata.verdict === ResponseVerdict.Valid)
+      backendSignals.learnStatus(decision.backend, status, requestId);
   }
 
   /** Finds the helper at an address, other than the responding engine. */
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -1,3 +1,4 @@
+import {FailingPhase} from '../failing_backends/failing_phase.js';
 import type {Backend} from '../fleet/backend.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import type {GatewayComponents} from './gateway_components.js';
@@ -12,6 +13,8 @@
   readonly requestId: string;
   /** Whether the request may be sent to a failure domain. */
   readonly mayUse: (failureDomain: string) => boolean;
+  /** Whether another attempt may follow one that has run. */
+  readonly isRepeatable?: boolean;
 }
 
 /**
@@ -55,8 +58,9 @@
     );
     const {reachability} = this.options.components.backends;
     const available = permitted.filter(
-      ({failures, presence}) =>
+      ({failures, evidence, presence}) =>
         !failures.isEjected(nowMs) &&
+        this.mayTry(evidence.phase(nowMs)) &&
         !reachability.isUnreachable(presence.failureDomain, nowMs),
     );
     return available.length > 0 ? available : permitted;
@@ -137,6 +141,13 @@
     return isGranted;
   }
 
+  /** Whether a backend server may be tried that may fail the request. */
+  private mayTry(phase: FailingPhase): boolean {
+    if (phase === FailingPhase.Sound) return true;
+    const {isRepeatable = false} = this.options;
+    return phase === FailingPhase.Trial && isRepeatable && !this.hasAttempted;
+  }
+
   private unattempted(): Backend[] {
     return this.atHome().filter(backend => !this.attempted.has(backend));
   }
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -97,6 +97,7 @@
       service: request.service.name,
       requestId: request.metadata.requestId,
       mayUse: failureDomain => components.homes.mayUse(request, failureDomain),
+      isRepeatable: isRetryable(request.route) && request.route.maxAttempts > 1,
     });
   }
 
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -22,6 +22,7 @@
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {DepartureManager} from '../departures/departure_manager.js';
+import {FailingBackends} from '../failing_backends/failing_backends.js';
 import {EvacuationManager} from '../evacuation/evacuation_manager.js';
 import {BackendPool, type ReportBatch} from '../fleet/backend_pool.js';
 import {BackendSignals} from '../fleet/backend_signals.js';
@@ -122,6 +123,7 @@
   private readonly quarantine: QuarantineManager;
   private readonly requestLimits: RequestLimitManager;
   private readonly coldBackends: ColdBackends;
+  private readonly failingBackends: FailingBackends;
   private readonly departures: DepartureManager;
   private readonly evacuation: EvacuationManager;
   private readonly reach = new ServiceReach();
@@ -194,6 +196,11 @@
       cold: this.coldBackends,
       hostIds: this.hostIds,
     });
+    this.failingBackends = new FailingBackends({
+      notices: this.notices,
+      backends: this.backends,
+      hostCount: () => this.notices.peerCount + 1,
+    });
     this.departures = new DepartureManager({
       notices: this.notices,
       backends: this.backends,
@@ -229,6 +236,7 @@
         this.departures,
         this.evacuation,
         this.coldBackends,
+        this.failingBackends,
         this.peerReach,
       ],
     });
@@ -387,6 +395,7 @@
     const {settings, dialect} = this.options;
     const backendSignals = new BackendSignals({
       departures: this.departures,
+      failing: this.failingBackends,
       metrics: this.metrics,
     });
     return {
@@ -442,6 +451,7 @@
       limitedBackends: () => this.requestLimits.size,
       leavingBackends: () => this.backends.departures.size,
       emptiedDomains: () => this.backends.emptied.size,
+      failingBackends: () => this.failingBackends.size,
       coldBackends: () => this.coldBackends.size,
       lostServices: () => this.reach.lostServices().length,
       cutOffPeers: () => this.peerReach.size,
--- a/packages/gateway/src/server/gateway_gauges.ts
+++ b/packages/gateway/src/server/gateway_gauges.ts
@@ -20,6 +20,8 @@
   emptiedDomains(): number;
   /** Backend servers that are cold. */
   coldBackends(): number;
+  /** Backend servers that fail more requests than others of their service. */
+  failingBackends(): number;
   /** Services that the host seems to be cut off from. */
   lostServices(): number;
   /** Entry hosts that have said, or shown, that they are cut off from a service. */
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -165,6 +165,11 @@
         'Backend servers that are cold.',
         () => gauges.coldBackends(),
       ],
+      [
+        'vmux_gateway_failing_backends',
+        'Backend servers that fail more requests than others of their service.',
+        () => gauges.failingBackends(),
+      ],
       [
         'vmux_gateway_lost_services',
         'Services none of whose backend servers this host reaches.',
