--- a/packages/gateway/__tests__/cold_domain_returns.test.ts
+++ b/packages/gateway/__tests__/cold_domain_returns.test.ts
@@ -94,7 +94,6 @@
       },
       maxHelperEntries: 16,
       candidates: host.view,
-      maxHelperEntries: 16,
       nowMs,
       waitedMs: 0,
     })!;
--- a/packages/gateway/__tests__/failing_backends.test.ts
+++ b/packages/gateway/__tests__/failing_backends.test.ts
@@ -84,6 +84,7 @@
       service: 'notes',
       requestId: 'r',
       isRepeatable,
+      mayUse: () => true,
     } as unknown as RequestCandidatesOptions);
   }
 }
