feat(gateway): failures are shared where the settings ask for it

Hosts told each other of failing backend servers on every deployment of 30 hosts or more, so also on those that are in service and were measured without it.

--- a/packages/gateway/__tests__/failing_backends.test.ts
+++ b/packages/gateway/__tests__/failing_backends.test.ts
@@ -46,6 +46,7 @@
           broadcastFacts: facts => this.deliver(index, facts),
         },
         backends: pool,
+        isEnabled: true,
         hostCount: () => count,
         now: () => this.nowMs,
       });
--- a/packages/gateway/src/failing_backends/failing_backends.ts
+++ b/packages/gateway/src/failing_backends/failing_backends.ts
@@ -22,6 +22,8 @@
 export interface FailingBackendsOptions {
   readonly notices: Pick<PeerNotices, 'failureNotices' | 'broadcastFacts'>;
   readonly backends: Pick<BackendPool, 'candidates' | 'get' | 'list'>;
+  /** Whether the settings of the deployment ask for it. */
+  readonly isEnabled: boolean;
   /** Returns the number of entry hosts. */
   readonly hostCount: () => number;
   readonly now?: () => number;
@@ -64,7 +66,8 @@
   }
 
   private get isInForce(): boolean {
-    return this.options.hostCount() >= MIN_HOSTS;
+    const {isEnabled, hostCount} = this.options;
+    return isEnabled && hostCount() >= MIN_HOSTS;
   }
 
   private merge({backend: id, incarnation, weight, ageMs}: FailureFact): void {
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -199,6 +199,7 @@
     this.failingBackends = new FailingBackends({
       notices: this.notices,
       backends: this.backends,
+      isEnabled: settings.sharesFailures,
       hostCount: () => this.notices.peerCount + 1,
     });
     this.departures = new DepartureManager({
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -60,6 +60,11 @@
     admission: z
       .nativeEnum(AdmissionPolicyName)
       .default(AdmissionPolicyName.Backlog),
+    /**
+     * Whether hosts tell each other which backend servers fail requests, as
+     * where servers are uneven and one host sees little of each.
+     */
+    sharesFailures: z.boolean().default(false),
     /** Bounds on the requests of cold backend servers. */
     coldBackends: coldBackendsSchema.default({}),
     retries: retrySchema.default({}),
