fix(control): an order counts members that were updated in place while they are down

What could happen: after an update in place of all control hosts, an order was refused while one of them was down, as its level was not recorded. Change: the leader asks members without a recorded level and records it.

--- a/packages/control/src/group_command_level.ts
+++ b/packages/control/src/group_command_level.ts
@@ -22,13 +22,10 @@
 
   /** Fails with `NotReady` unless all members are known to know the level. */
   async require(level: CommandLevel): Promise<Result<void>> {
-    const {members} = this.host.node.status();
-    const clients = new PeerClients(this.host.settings.id);
-    const levels = await Promise.all(
-      members.map(member => this.levelOf(member, clients)),
+    const members = await this.stated();
+    const unready = members.filter(
+      ({commandLevel = 0}) => commandLevel < level,
     );
-    clients.close();
-    const unready = members.filter((_, index) => levels[index]! < level);
     if (unready.length === 0) return succeed(undefined);
     const ids = unready.map(({id}) => id).join();
     const message = `members may be of an earlier build: ${ids}`;
@@ -36,19 +33,34 @@
   }
 
   /**
-   * Level that a member states now. One that is down counts as it was when it
-   * joined: it can't be replaced by another build without being heard.
+   * Returns the members with the levels that they state now. One that is down
+   * counts as it did: it can't become one of another build without being heard.
    */
-  private async levelOf(member: Member, clients: PeerClients): Promise<number> {
-    const {self} = this.host;
-    if (member.id === self.id) return self.commandLevel ?? 0;
-    const result = await clients
-      .get(member.address)
-      .call(
-        (api, signal) => api.group.formation.query(undefined, {signal}),
-        CALL_TIMEOUT_MS,
-      );
-    const isSame = result.ok && result.value.member.id === member.id;
-    return (isSame ? result.value.member : member).commandLevel ?? 0;
+  async stated(): Promise<Member[]> {
+    const {self, node, settings} = this.host;
+    const clients = new PeerClients(settings.id);
+    const members = await Promise.all(
+      node.status().members.map(async member => {
+        const now = member.id === self.id ? self : await ask(member, clients);
+        return {...member, commandLevel: (now ?? member).commandLevel};
+      }),
+    );
+    clients.close();
+    return members;
   }
 }
+
+/** Asks the host of a member; `undefined` if another or none responds. */
+async function ask(
+  {id, address}: Member,
+  clients: PeerClients,
+): Promise<Member | undefined> {
+  const result = await clients
+    .get(address)
+    .call(
+      (api, signal) => api.group.formation.query(undefined, {signal}),
+      CALL_TIMEOUT_MS,
+    );
+  if (!result.ok || result.value.member.id !== id) return undefined;
+  return result.value.member;
+}
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -11,8 +11,10 @@
   type Result,
 } from '@vanillamux/shared';
 import type {ControlHost} from './control_host.js';
+import {GroupCommandLevel} from './group_command_level.js';
 import type {JoinRequest} from './join_request.js';
 import {LeaveVerdict} from './leave_verdict.js';
+import {MemberLevelRecorder} from './member_level_recorder.js';
 import {MembershipPolicy} from './membership_policy.js';
 
 const CHECK_INTERVAL_MS = 250;
@@ -37,11 +39,13 @@
   /** When each member that leaves last asked for it. */
   private readonly leaveRequestMs = new Map<string, number>();
   private readonly policy: MembershipPolicy;
+  private readonly levels: MemberLevelRecorder;
   private lagReportedMs = Number.NEGATIVE_INFINITY;
   /** Last log index at the previous check while this host was the leader. */
   private previousLastIndex?: number;
 
   constructor(private readonly host: ControlHost) {
+    this.levels = new MemberLevelRecorder(host, new GroupCommandLevel(host));
     const {discovery, group, replaceAfterMs} = host.settings;
     this.policy = new MembershipPolicy({
       usesDiscovery: discovery !== undefined,
@@ -170,6 +174,9 @@
       this.lagReportedMs = monotonicMs();
     }
     this.reportLaggingLearners();
+    const stated = await this.levels.refresh(monotonicMs());
+    if (stated)
+      await this.changeMembers(stated, 'recorded the levels of commands');
   }
 
   private reportLaggingLearners(): void {
