feat(gateway): after a restart of every host, requests wait for the servers

After the loss of all power on 75 entry hosts, callers were late or refused for four seconds more, although the hosts were back within one.

Control hosts remember how many servers entry hosts knew of each service, and say so while they have just started; entry hosts let requests wait until three in four of them are known, at most 1.5 s or half of the request's time, and only while every control host that has answered has just started. Nothing is remembered of single servers, so none comes back that has left. Both fields of the poll are optional; the file has a folder of its own, which earlier builds do not read.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {setImmediate} from 'node:timers/promises';
+import {ChecksummedFile, MemoryDisk} from '@vanillamux/storage';
 import {
+  BackendCensus,
   BackendRegistry,
   CommandKind,
   ControlState,
@@ -30,7 +32,7 @@
 }
 
 /** A feed, and an entry host that has polled it once. */
-async function createFeed(): Promise<{
+async function createFeed(census?: BackendCensus): Promise<{
   readonly state: ControlState;
   poll(fields: Partial<FeedRequest>): Promise<FeedUpdate>;
 }> {
@@ -38,7 +40,11 @@
   const status = {isCurrent: true, leaderSilentMs: 0, members: []};
   const host = {stateMachine: state, node: {status: () => status}};
   const registry = new BackendRegistry({heartbeatMs: 1_000});
-  const feed = new EntryHostFeed(host as unknown as ControlHost, registry);
+  const feed = new EntryHostFeed(
+    host as unknown as ControlHost,
+    registry,
+    census,
+  );
   const unknown = {registryId: '', position: 0, peersVersion: -1, version: -1};
   const first = await feed.waitForUpdate({entry, ...unknown, waitMs: 0});
   const {registryId, position, peersVersion} = first;
@@ -73,6 +79,29 @@
     assert.deepEqual(evacuation?.failureDomains, ['a', 'b']);
   });
 
+  for (const {name, knownBackends, expected} of [
+    {name: 'learns', knownBackends: {notes: 4}, expected: {notes: 4}},
+    {name: 'does without', knownBackends: undefined, expected: {}},
+  ]) {
+    it(`${name} how many backend servers an entry host knows`, async () => {
+      const disk = new MemoryDisk();
+      const file = new ChecksummedFile(disk, 'backends.json');
+      const before = new BackendCensus({heartbeatMs: 0, file});
+      await (await createFeed(before)).poll({waitMs: 0, knownBackends});
+      await before.save();
+      const after = new BackendCensus({heartbeatMs: WAIT_MS, file});
+      await after.load();
+      const {census} = await (await createFeed(after)).poll({waitMs: 0});
+      assert.deepEqual(census?.expected, expected);
+    });
+  }
+
+  it('says nothing of the time before once it has heard all servers', async () => {
+    const census = new BackendCensus({heartbeatMs: 0});
+    const update = await (await createFeed(census)).poll({waitMs: 0});
+    assert.ok(!('census' in JSON.parse(JSON.stringify(update))));
+  });
+
   for (const evacuationRevision of [undefined, 1]) {
     const asked = evacuationRevision === undefined ? 'not asked' : 'known';
     it(`waits for news where the order is ${asked}`, async () => {
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -11,6 +11,7 @@
 } from '@vanillamux/shared';
 import {collectDefaultMetrics, Registry} from 'prom-client';
 import {addGauge} from './add_gauge.js';
+import {BackendCensus} from './backend_census.js';
 import {BackendRegistry} from './backend_registry.js';
 import {ControlHost} from './control_host.js';
 import {createControlRouter} from './control_router.js';
@@ -50,7 +51,11 @@
   static async start(
     settings: ControlSettings,
   ): Promise<Result<ControlServer>> {
-    const hostResult = await ControlHost.open(settings);
+    const {dataFolder, heartbeatMs} = settings;
+    const [hostResult, census] = await Promise.all([
+      ControlHost.open(settings),
+      BackendCensus.open(dataFolder, heartbeatMs),
+    ]);
     if (!hostResult.ok) return hostResult;
     const host = hostResult.value;
     const membershipManager = new MembershipManager(host);
@@ -59,7 +64,7 @@
     const evacuator = new Evacuator(host, leaderCaller);
     const backends = new BackendRegistry(settings);
     const server = createHttpServer(host, backends);
-    const feed = new EntryHostFeed(host, backends);
+    const feed = new EntryHostFeed(host, backends, census);
     const router = createControlRouter({
       host,
       membershipManager,
@@ -98,6 +103,7 @@
     const {signal} = controlServer.stopping;
     void controlServer.joinGroup();
     void membershipManager.run(signal);
+    void census.run(signal);
     void expireBackends(backends, settings.heartbeatMs, signal);
     void new ReservationExpirer(host).run(signal);
     log.info('Listening.', {
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -1,5 +1,6 @@
 import type {EntryPeer} from '@vanillamux/protocol';
 import {Deferred, formatAddress, monotonicMs, sleep} from '@vanillamux/shared';
+import type {BackendCensus} from './backend_census.js';
 import type {BackendRegistry} from './backend_registry.js';
 import type {ControlHost} from './control_host.js';
 import type {FeedUpdate} from './feed_update.js';
@@ -29,6 +30,7 @@
   constructor(
     private readonly host: ControlHost,
     private readonly registry: BackendRegistry,
+    private readonly census?: BackendCensus,
   ) {
     const {published, evacuation} = host.stateMachine;
     const changes = published.versions
@@ -46,6 +48,7 @@
    */
   async waitForUpdate(request: FeedRequest): Promise<FeedUpdate> {
     this.subscribe(request.entry);
+    if (request.knownBackends) this.census?.learn(request.knownBackends);
     if (!this.hasUpdate(request) && request.waitMs > 0) {
       const timer = new AbortController();
       await Promise.race([
@@ -60,6 +63,7 @@
       ...this.registry.changesSince(request.registryId, request.position),
       version: this.host.stateMachine.published.version,
       evacuation: this.host.stateMachine.evacuation.save(),
+      census: this.census?.current(),
       isCurrent:
         status.isCurrent && status.leaderSilentMs < MAX_LEADER_SILENCE_MS,
       control: status.members.map(({address, failureDomain}) => ({
--- a/packages/control/src/feed_request.ts
+++ b/packages/control/src/feed_request.ts
@@ -1,4 +1,5 @@
 import type {EntryPeer} from '@vanillamux/protocol';
+import type {BackendCounts} from './census.js';
 
 /** State that an entry host has, and how long it waits for a change. */
 export interface FeedRequest {
@@ -14,5 +15,10 @@
    * earlier builds leave it out, and are not told of a change.
    */
   readonly evacuationRevision?: number;
+  /**
+   * Backend servers of each service that the entry host may send requests to,
+   * now and then; those of earlier builds leave it out.
+   */
+  readonly knownBackends?: BackendCounts;
   readonly waitMs: number;
 }
--- a/packages/control/src/feed_update.ts
+++ b/packages/control/src/feed_update.ts
@@ -1,5 +1,6 @@
 import type {EntryPeer, EvacuationView} from '@vanillamux/protocol';
 import type {RegistryUpdate} from './backend_registry.js';
+import type {Census} from './census.js';
 import type {ControlEndpoint} from './control_endpoint.js';
 
 /** Changes that an entry host lacks. */
@@ -11,6 +12,8 @@
    * hosts of earlier builds.
    */
   readonly evacuation?: EvacuationView;
+  /** Present while this control host has just started. */
+  readonly census?: Census;
   /** Whether this control host follows a leader that has a quorum. */
   readonly isCurrent: boolean;
   /** Members of the control group. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -13,6 +13,12 @@
   type BackendRegistryOptions,
   type RegistryUpdate,
 } from './backend_registry.js';
+export {
+  BackendCensus,
+  type BackendCensusOptions,
+  type CensusFile,
+} from './backend_census.js';
+export {type BackendCounts, type Census} from './census.js';
 export {CommandKind} from './command_kind.js';
 export {CommandLevel} from './command_level.js';
 export {
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -150,6 +150,7 @@
       isEmptied: () => false,
     },
     backendSignals: {learn: () => undefined, learnStatus: () => undefined},
+    knownBackends: {wait: () => Promise.resolve()},
     connections: createConnections(async () => succeed(chunks.shift())),
     placements: {
       for: () => ({
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -1,4 +1,5 @@
 import type {
+  BackendCounts,
   ControlEndpoint,
   ControlRouter,
   FeedUpdate,
@@ -8,6 +9,7 @@
 import {
   formatAddress,
   getLogger,
+  monotonicMs,
   sleep,
   type Address,
   type Result,
@@ -19,6 +21,8 @@
 /** Time beyond the wait of a poll after which the connection counts as lost. */
 const POLL_TIMEOUT_MARGIN_MS = 1_500;
 const RETRY_DELAY_MS = 250;
+/** Time after which a control host is told again how many servers are known. */
+const COUNT_INTERVAL_MS = 2_000;
 const DOCUMENT_TIMEOUT_MS = 1_500;
 
 const log = getLogger('control');
@@ -41,6 +45,8 @@
   private position = 0;
   private peersVersion = -1;
   private isResponding = false;
+  /** When the known backend servers were last counted for this control host. */
+  private countedMs = -Infinity;
 
   constructor(private readonly options: ControlLinkOptions) {
     const {address, entry} = options;
@@ -92,6 +98,7 @@
             ...request,
             version: listener.version,
             evacuationRevision: listener.evacuationRevision,
+            knownBackends: this.takeCounts(),
           },
           {signal},
         ),
@@ -104,6 +111,14 @@
     return true;
   }
 
+  /** Returns the known backend servers from time to time, as they seldom change. */
+  private takeCounts(): BackendCounts | undefined {
+    const nowMs = monotonicMs();
+    if (nowMs - this.countedMs < COUNT_INTERVAL_MS) return undefined;
+    this.countedMs = nowMs;
+    return this.options.listener.knownBackends;
+  }
+
   private async applyUpdate(update: FeedUpdate): Promise<void> {
     const {listener} = this.options;
     const from = formatAddress(this.options.address);
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -5,6 +5,7 @@
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {BackendSignals} from '../fleet/backend_signals.js';
 import type {HomePolicy} from '../homes/home_policy.js';
+import type {KnownBackends} from '../known_backends/known_backends.js';
 import type {ConfigStore} from '../link/config_store.js';
 import type {MemoryReservationManager} from '../memory/memory_reservation_manager.js';
 import type {FactSync} from '../peers/fact_sync.js';
@@ -27,6 +28,7 @@
   readonly configStore: ConfigStore;
   readonly backends: BackendPool;
   readonly homes: HomePolicy;
+  readonly knownBackends: Pick<KnownBackends, 'wait'>;
   readonly connections: ConnectionPools;
   readonly placements: PlacementPolicies;
   readonly admission: AdmissionPolicy;
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -38,6 +38,9 @@
  */
 const CONFIG_WAIT_MS = 3_000;
 
+/** Share of its time that a request waits for backend servers to be known. */
+const MAX_WAIT_SHARE = 0.5;
+
 const STATUS_INTERNAL_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
 
@@ -248,6 +251,10 @@
     );
     this.runningRequests.add(controller);
     try {
+      await this.components.knownBackends.wait(request.service.name, {
+        timeoutMs: (deadlineMs - monotonicMs()) * MAX_WAIT_SHARE,
+        signal: controller.signal,
+      });
       await new RequestRunner(this.components, request).run();
     } finally {
       this.runningRequests.delete(controller);
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -1,5 +1,5 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import {Recorder} from '@vanillamux/control';
+import {Recorder, type BackendCounts, type Census} from '@vanillamux/control';
 import type {
   EntryPeer,
   EvacuationView,
@@ -27,6 +27,7 @@
 import {BackendPool, type ReportBatch} from '../fleet/backend_pool.js';
 import {BackendSignals} from '../fleet/backend_signals.js';
 import {HomePolicy} from '../homes/home_policy.js';
+import {KnownBackends} from '../known_backends/known_backends.js';
 import {ConfigStore} from '../link/config_store.js';
 import {ControlLinks} from '../link/control_links.js';
 import type {LinkListener} from '../link/link_listener.js';
@@ -108,6 +109,7 @@
 export class Gateway implements LinkListener {
   private readonly config: ConfigStore;
   private readonly backends = new BackendPool();
+  private readonly known = new KnownBackends({backends: this.backends});
   private readonly connections: ConnectionPools;
   private readonly retryBudget: SharedRetryBudget;
   private readonly readiness: Readiness;
@@ -307,6 +309,10 @@
     return this.backends.emptied.revision;
   }
 
+  get knownBackends(): BackendCounts {
+    return this.known.counts;
+  }
+
   onEvacuation(view: EvacuationView): void {
     this.evacuation.learn(view, 'control');
   }
@@ -334,7 +340,9 @@
     readonly isCurrent: boolean;
     readonly version: number;
     readonly peers?: readonly EntryPeer[];
+    readonly census?: Census;
   }): void {
+    this.known.update(contact.census);
     this.readiness.onContact(contact.isCurrent, contact.version);
     const nowMs = monotonicMs();
     this.roster.update(contact.from, contact.peers, nowMs);
@@ -407,6 +415,7 @@
         configStore: this.config,
         regionByFailureDomain: settings.regionByFailureDomain,
       }),
+      knownBackends: this.known,
       connections: this.connections,
       placements: new PlacementPolicies(
         settings.placement,
