fix(gateway): links to remembered control hosts open before there is a leader

An entry host that started opened links to members of the group other than its seeds only once a control host with a leader had named them.

Members that a control host without a leader remembers get a link too, until the first answer of one with a leader, which closes those that have left.

--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -33,8 +33,14 @@
   readonly entry: EntryPeer;
   readonly address: Address;
   readonly listener: LinkListener;
-  /** Receives the members of the group, as a current control host has them. */
-  readonly onMembers: (members: readonly ControlEndpoint[]) => void;
+  /**
+   * Receives the members of the group as the control host has them, and whether
+   * it follows a leader.
+   */
+  readonly onMembers: (
+    members: readonly ControlEndpoint[],
+    isCurrent: boolean,
+  ) => void;
 }
 
 /** Polls one control host for updates. */
@@ -134,7 +140,7 @@
     // a tight loop.
     if (update.version > listener.version) await this.waitToRetry();
     listener.onContact({...update, from});
-    if (update.isCurrent) this.options.onMembers(update.control);
+    this.options.onMembers(update.control, update.isCurrent);
   }
 
   private async fetchDocument(): Promise<void> {
