--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -33,14 +33,8 @@
   readonly entry: EntryPeer;
   readonly address: Address;
   readonly listener: LinkListener;
-  /**
-   * Receives the members of the group as the control host has them, and whether
-   * it follows a leader.
-   */
-  readonly onMembers: (
-    members: readonly ControlEndpoint[],
-    isCurrent: boolean,
-  ) => void;
+  /** Receives the members of the group, as a current control host has them. */
+  readonly onMembers: (members: readonly ControlEndpoint[]) => void;
 }
 
 /** Polls one control host for updates. */
@@ -140,7 +134,7 @@
     // a tight loop.
     if (update.version > listener.version) await this.waitToRetry();
     listener.onContact({...update, from});
-    this.options.onMembers(update.control, update.isCurrent);
+    if (update.isCurrent) this.options.onMembers(update.control);
   }
 
   private async fetchDocument(): Promise<void> {
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -28,8 +28,6 @@
   private readonly links = new Map<string, ControlLink>();
   private readonly stopping = new AbortController();
   private seeds: readonly Address[];
-  /** Whether a control host that follows a leader has named the members. */
-  private hasCurrentMembers = false;
 
   constructor(private readonly options: ControlLinksOptions) {
     super();
@@ -74,19 +72,8 @@
     return fail(new VmuxError(ErrorCodes.TransportFailed));
   }
 
-  /**
-   * Opens links to the members that a control host without a leader remembers.
-   * After a restart of every host, each has heard a part of the backend servers
-   * before there is a leader. Members that have left are dropped later.
-   */
-  private connectEarly(members: readonly ControlEndpoint[]): void {
-    if (this.hasCurrentMembers) return;
-    for (const {address} of members) this.connect(address);
-  }
-
   /** Opens and closes links so that they match the members of the group. */
   private updateMembers(members: readonly ControlEndpoint[]): void {
-    this.hasCurrentMembers = true;
     const addresses = members.map(({address}) => address);
     for (const {address, failureDomain} of members) {
       this.failureDomains.set(formatAddress(address), failureDomain);
@@ -111,8 +98,7 @@
       entry: this.options.entry,
       address,
       listener: this.options.listener,
-      onMembers: (members, isCurrent) =>
-        isCurrent ? this.updateMembers(members) : this.connectEarly(members),
+      onMembers: members => this.updateMembers(members),
     };
     const link = new ControlLink(options);
     this.links.set(key, link);
