--- a/scripts/measure_host.mjs
+++ b/scripts/measure_host.mjs
@@ -1,7 +1,7 @@
 // Prints the processor time of one entry host and one control host beside the
 // messages of a fleet, which this process plays. Needs `node scripts/build.mjs`
 // and `node scripts/bundle.mjs`. Options: --hosts 75 --seconds 20 --target DIR
-// --flags "V8 FLAGS" --profile DIR
+// --flags="V8 FLAGS" --profile DIR
 import {spawn} from 'node:child_process';
 import {createSocket} from 'node:dgram';
 import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
@@ -38,6 +38,8 @@
 const HEARTBEAT_MS = 1_200;
 const TICKS_PER_S = 100;
 const MS_PER_SECOND = 1_000;
+const PUBLISH_RETRY_MS = 100;
+const MAX_PUBLISH_ATTEMPTS = 200;
 const BASE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 
 const folder = mkdtempSync(join(tmpdir(), 'vmux-measure-host-'));
@@ -48,6 +50,7 @@
 const apiPorts = ports.splice(0, CONTROL_HOSTS);
 const children = [];
 const agent = new Agent({keepAlive: true});
+process.on('exit', () => children.forEach(child => child.kill('SIGKILL')));
 
 function start(name, binary, settings, flags) {
   const file = join(folder, `${name}.yaml`);
@@ -157,10 +160,12 @@
   return send(api, `/-/workers/engine-${index}/heartbeat`, 'POST', body);
 }
 const config = JSON.stringify(createWireConfiguration());
-while (
-  (await send(apiPorts[0], '/-/configuration/replace', 'POST', config)) !== 200
-)
-  await sleep(100);
+let status = 0;
+for (let attempt = 0; status !== 200; attempt++) {
+  if (attempt === MAX_PUBLISH_ATTEMPTS) throw new Error('no control host');
+  status = await send(apiPorts[0], '/-/configuration/replace', 'POST', config);
+  if (status !== 200) await sleep(PUBLISH_RETRY_MS);
+}
 for (let index = 0; index < ENGINES; index++) {
   setTimeout(
     () => {
@@ -285,6 +290,7 @@
 );
 console.log(`peak memory of the entry host ${peakKb} KB`);
 console.log('responses', JSON.stringify(statuses));
+// Time to write a profile.
 for (const child of children) child.kill('SIGTERM');
 await sleep(4_000);
 process.exit();
