--- a/scripts/measure_host.mjs
+++ b/scripts/measure_host.mjs
@@ -2,9 +2,7 @@
 // messages of a fleet, which this process plays. Needs `node scripts/build.mjs`
 // and `node scripts/bundle.mjs`. Options: --hosts 75 --seconds 20 --target DIR
 // --flags="V8 FLAGS" --profile DIR
-import {spawn} from 'node:child_process';
-import {createSocket} from 'node:dgram';
-import {mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {mkdtempSync} from 'node:fs';
 import {createServer, request, Agent} from 'node:http';
 import console from 'node:console';
 import {tmpdir} from 'node:os';
@@ -13,8 +11,14 @@
 import {clearInterval, setInterval, setTimeout} from 'node:timers';
 import {parseArgs} from 'node:util';
 import {findFreePorts} from '@vanillamux/fleet';
-import {RpcClient} from '@vanillamux/rpc';
 import {sleep} from '@vanillamux/shared';
+import {
+  endMeasured,
+  peakKb,
+  startMeasured,
+  usedMs,
+} from './measured_process.mjs';
+import {PlayedPeers} from './played_peers.mjs';
 import {createWireConfiguration} from '../platform/dist/__tests__/support/create_wire_configuration.js';
 
 const {values} = parseArgs({
@@ -36,11 +40,9 @@
 const RESPONSE_MS = 1_400;
 const EVENTS = 33;
 const HEARTBEAT_MS = 1_200;
-const TICKS_PER_S = 100;
 const MS_PER_SECOND = 1_000;
 const PUBLISH_RETRY_MS = 100;
 const MAX_PUBLISH_ATTEMPTS = 200;
-const BASE_FLAGS = ['--max-old-space-size=160', '--max-semi-space-size=4'];
 
 const folder = mkdtempSync(join(tmpdir(), 'vmux-measure-host-'));
 const [rpcPort, enginePort, ...ports] = await findFreePorts(
@@ -48,32 +50,7 @@
 );
 const [listen, readiness, metrics] = ports.splice(0, 3);
 const apiPorts = ports.splice(0, CONTROL_HOSTS);
-const children = [];
 const agent = new Agent({keepAlive: true});
-process.on('exit', () => children.forEach(child => child.kill('SIGKILL')));
-
-function start(name, binary, settings, flags) {
-  const file = join(folder, `${name}.yaml`);
-  writeFileSync(file, JSON.stringify({...settings, logFormat: 'json'}));
-  const child = spawn(
-    process.execPath,
-    [...BASE_FLAGS, ...flags, join(values.target, binary), '--config', file],
-    {stdio: ['ignore', 'pipe', 'inherit']},
-  );
-  child.logLines = 0;
-  child.stdout.on('data', chunk => {
-    child.logLines += String(chunk).split('\n').length - 1;
-  });
-  children.push(child);
-  return child;
-}
-
-/** Milliseconds that a process has used in its own code and in the kernel. */
-function usedMs({pid}) {
-  const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1];
-  const [user, system] = fields.split(' ').slice(11, 13).map(Number);
-  return [user, system].map(ticks => (ticks * 1_000) / TICKS_PER_S);
-}
 
 function send(port, path, method, body, headers = {}) {
   return new Promise(resolve => {
@@ -106,10 +83,11 @@
 
 const flags = values.flags.split(' ').filter(Boolean);
 const controls = apiPorts.map((api, index) =>
-  start(
-    `control-${index}`,
-    'vmux-platform-control.cjs',
-    {
+  startMeasured({
+    binary: join(values.target, 'vmux-platform-control.cjs'),
+    folder,
+    flags,
+    settings: {
       id: `control-${index}`,
       failureDomain: DOMAINS[index % DOMAINS.length],
       listen: `127.0.0.${index + 1}:${rpcPort}`,
@@ -122,13 +100,12 @@
       },
       heartbeatMs: HEARTBEAT_MS,
     },
-    flags,
-  ),
+  }),
 );
-const gateway = start(
-  'gateway',
-  'vmux-platform-gateway.cjs',
-  {
+const gateway = startMeasured({
+  binary: join(values.target, 'vmux-platform-gateway.cjs'),
+  folder,
+  settings: {
     id: 'entry-0',
     failureDomain: DOMAINS[0],
     listen: `127.0.0.1:${listen}`,
@@ -138,10 +115,10 @@
     seeds: apiPorts.map((_, seed) => `127.0.0.${seed + 1}:1`),
     peerPort: rpcPort,
   },
-  values.profile
+  flags: values.profile
     ? [...flags, '--cpu-prof', `--cpu-prof-dir=${values.profile}`]
     : flags,
-);
+});
 
 // Heartbeats of the engines, spread over the control hosts.
 let sequence = 0;
@@ -176,62 +153,15 @@
   );
 }
 
-// The peers: each polls each control host and reads its datagrams.
-let received = 0;
-let receivedBytes = 0;
-const peers = ports.slice(1).map((port, index) => {
-  const id = `entry-${index + 1}`;
-  const failureDomain = DOMAINS[(index + 1) % DOMAINS.length];
-  const socket = createSocket('udp4');
-  socket.on('message', bytes => {
-    received++;
-    receivedBytes += bytes.length;
-  });
-  socket.bind(port, '127.0.0.1');
-  return {id, failureDomain, socket, address: {host: '127.0.0.1', port}};
+const fleet = new PlayedPeers({
+  ports: ports.slice(1),
+  gatewayPort: ports[0],
+  controlHosts: apiPorts.map((_, index) => `127.0.0.${index + 1}`),
+  rpcPort,
+  engines: ENGINES,
+  responseMs: RESPONSE_MS,
+  domains: DOMAINS,
 });
-async function poll({id, failureDomain, address}, host) {
-  const client = new RpcClient({address: {host, port: rpcPort}, from: id});
-  let state = {registryId: '', position: 0, peersVersion: -1, version: -1};
-  for (;;) {
-    const result = await client.call(
-      api =>
-        api.feed.wait.query({
-          ...state,
-          entry: {id, failureDomain, address},
-          waitMs: 5_000,
-        }),
-      6_500,
-    );
-    if (result.ok) state = result.value;
-    else await sleep(250);
-  }
-}
-for (const peer of peers)
-  for (let index = 0; index < CONTROL_HOSTS; index++)
-    void poll(peer, `127.0.0.${index + 1}`);
-
-// Notices that the gateway would get of what its peers place.
-let sentNotices = 0;
-let nextWork = 0;
-let turn = 0;
-function sendNotice(from, work, placed, ended) {
-  const own = from.failureDomain === DOMAINS[0];
-  const ownPeers = peers.filter(p => p.failureDomain === DOMAINS[0]);
-  // One of the own failure domain relays what comes from another one.
-  const isRelay = !own && turn++ % (ownPeers.length + 1) === 0;
-  const via = own || isRelay ? from : ownPeers[turn % ownPeers.length];
-  const notice = {from: from.id, work, relay: isRelay, placed, ended};
-  via.socket.send(JSON.stringify(notice), ports[0], '127.0.0.1');
-  sentNotices++;
-}
-function place() {
-  const from = peers[nextWork % peers.length];
-  const work = `${from.id}/request-${nextWork++}/1`;
-  const engineId = `engine-${(nextWork * 7) % ENGINES}`;
-  sendNotice(from, work, [[engineId, 1, 24, 4_960, 1_400, 200, 259, 1.7]], []);
-  setTimeout(() => sendNotice(from, work, [], [engineId]), RESPONSE_MS);
-}
 
 const headers = {
   host: 'main.example',
@@ -252,16 +182,19 @@
   const timers = [];
   if (notices)
     timers.push(
-      setInterval(place, 1_000 / (peers.length * REQUESTS_PER_HOST_AND_S)),
+      setInterval(
+        () => fleet.place(),
+        MS_PER_SECOND / (fleet.size * REQUESTS_PER_HOST_AND_S),
+      ),
     );
   if (requests > 0) timers.push(setInterval(sendRequest, 1_000 / requests, 0));
   await sleep(RESPONSE_MS + 600);
   const read = () => [
     ...usedMs(gateway),
     ...usedMs(controls[0]),
-    sentNotices,
-    received,
-    receivedBytes,
+    fleet.sentNotices,
+    fleet.received,
+    fleet.receivedBytes,
     gateway.logLines,
   ];
   const before = read();
@@ -285,12 +218,9 @@
 await measure('own requests', {requests: REQUESTS_PER_HOST_AND_S});
 await measure("peers' notices", {notices: true});
 await measure('both', {notices: true, requests: REQUESTS_PER_HOST_AND_S});
-const [, peakKb] = /VmHWM:\s+(\d+)/.exec(
-  readFileSync(`/proc/${gateway.pid}/status`, 'utf8'),
-);
-console.log(`peak memory of the entry host ${peakKb} KB`);
+console.log(`peak memory of the entry host ${peakKb(gateway)} KB`);
 console.log('responses', JSON.stringify(statuses));
 // Time to write a profile.
-for (const child of children) child.kill('SIGTERM');
+endMeasured();
 await sleep(4_000);
 process.exit();
