feat(gateway): admission by what a refusal costs callers

Under too little room each request was asked the same question alone: does its first event take more than 0.65 of its goal? The wait for a slot was predicted too short, so that short prompts were admitted, and late; and whoever had the longest goal got the room.

The new policy (setting `admission: least-cost`, or routes of one service that differ in priority) derives a price of room from the ledgers that all hosts hold: from three quarters of all slots on. What costs its caller less than that for each millisecond of engine time is refused at once, with floors for routes, sizes and workspaces; more urgent work comes first. `open` and `backlog` decide as before.

The test of the backlog policy reads the time from the refusal that is now an object, and the runner's fake has a configuration store; both as strict.

--- a/packages/gateway/__tests__/backlog_admission_policy.test.ts
+++ b/packages/gateway/__tests__/backlog_admission_policy.test.ts
@@ -36,8 +36,8 @@
               prefillShareMs: 0,
               predictedLoss: 0,
             };
-      const returnMs = policy.refuse({latencyGoalMs: GOAL_MS, prediction});
-      assert.equal(returnMs !== undefined, isRefused);
+      const refusal = policy.refuse({latencyGoalMs: GOAL_MS, prediction});
+      assert.equal(refusal !== undefined, isRefused);
     });
   }
 
@@ -52,7 +52,7 @@
       new BacklogAdmissionPolicy(() => random).refuse({
         latencyGoalMs: GOAL_MS,
         prediction: {...prediction, firstEventMs},
-      });
+      })?.returnMs;
     assert.deepEqual(
       [refuse(0, 400), refuse(0.5, 400), refuse(0, 60_000)],
       [1_000, 1_500, 3_000],
--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -3,6 +3,7 @@
 import {fileURLToPath} from 'node:url';
 import {describe, it} from 'node:test';
 import {PresenceState} from '@vanillamux/protocol';
+import {RefusalReason} from '../src/admission/refusal_reason.js';
 import {AttemptOutcome} from '../src/request/attempt_outcome.js';
 import {PermitVerdict} from '../src/request_limits/permit_verdict.js';
 import {GatewayMetrics} from '../src/server/gateway_metrics.js';
@@ -56,11 +57,15 @@
   metrics.countFailedAttempt('notes', AttemptOutcome.NotRun);
   metrics.countRetry('notes', false);
   metrics.countPermit(PermitVerdict.Denied);
+  metrics.countAdmissionRefusal('notes', 2, RefusalReason.Price);
+  metrics.countAdmissionRefusal('notes', 1, RefusalReason.Backlog);
   metrics.countMalformedRequest('notes', 431);
   return metrics.render();
 }
 
 const LINES = [
+  'vmux_gateway_admission_refusals_total{service="notes",priority="2",reason="price"} 1',
+  'vmux_gateway_backlog_refusals_total{service="notes"} 1',
   'vmux_gateway_permits_total{verdict="denied"} 1',
   'vmux_gateway_malformed_requests_total{service="notes",status="431"} 1',
   'vmux_gateway_limited_backends 1',
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -6,7 +6,7 @@
 import {getLogger, monotonicMs, sleep, succeed} from '@vanillamux/shared';
 import {RouteTable} from '../src/config/route_table.js';
 import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
-import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
+import {AdmissionPolicies} from '../src/admission/admission_policies.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
 import {EmptiedDomains} from '../src/evacuation/emptied_domains.js';
 import {ResponseVerdict} from '../src/dialect/response_verdict.js';
@@ -157,7 +157,7 @@
         place: () => ({backend, helpers: [], memory: [], work: []}),
       }),
     },
-    admission: createAdmissionPolicy(AdmissionPolicyName.Open),
+    admission: new AdmissionPolicies(AdmissionPolicyName.Open),
     homes: {mayUse: () => true},
     retryBudget: {countRequest: () => undefined, acquire: () => true},
     notices: {tell: () => undefined, tellEnd: () => undefined},
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -11,7 +11,7 @@
 import type {Exchange} from '../src/connection/exchange.js';
 import {ExchangeError} from '../src/connection/exchange_error.js';
 import {AdmissionPolicyName} from '../src/admission/admission_policy_name.js';
-import {createAdmissionPolicy} from '../src/admission/create_admission_policy.js';
+import {AdmissionPolicies} from '../src/admission/admission_policies.js';
 import {DepartureTable} from '../src/departures/departure_table.js';
 import {EmptiedDomains} from '../src/evacuation/emptied_domains.js';
 import type {Backend} from '../src/fleet/backend.js';
@@ -63,7 +63,8 @@
       }),
     },
     memory: {reserve: async () => []},
-    admission: createAdmissionPolicy(AdmissionPolicyName.Open),
+    admission: new AdmissionPolicies(AdmissionPolicyName.Open),
+    configStore: {},
     homes: {mayUse: () => true},
     notices: {tell: () => {}, tellEnd: () => {}},
     requestLimits: {
--- a/packages/gateway/src/admission/admission_policy_name.ts
+++ b/packages/gateway/src/admission/admission_policy_name.ts
@@ -4,4 +4,6 @@
   Open = 'open',
   /** Refuses requests that the engines' backlog would keep past their goals. */
   Backlog = 'backlog',
+  /** Refuses what costs callers least while there is too little room. */
+  LeastCost = 'least-cost',
 }
--- a/packages/gateway/src/admission/create_admission_policy.ts
+++ b/packages/gateway/src/admission/create_admission_policy.ts
@@ -1,6 +1,7 @@
 import type {AdmissionPolicy} from './admission_policy.js';
 import {AdmissionPolicyName} from './admission_policy_name.js';
 import {BacklogAdmissionPolicy} from './backlog_admission_policy.js';
+import {LeastCostAdmissionPolicy} from './least_cost_admission_policy.js';
 import {OpenAdmissionPolicy} from './open_admission_policy.js';
 
 /** Creates the admission policy with a name. */
@@ -8,7 +9,12 @@
   name: AdmissionPolicyName,
   random: () => number = Math.random,
 ): AdmissionPolicy {
-  return name === AdmissionPolicyName.Open
-    ? new OpenAdmissionPolicy()
-    : new BacklogAdmissionPolicy(random);
+  switch (name) {
+    case AdmissionPolicyName.Open:
+      return new OpenAdmissionPolicy();
+    case AdmissionPolicyName.Backlog:
+      return new BacklogAdmissionPolicy(random);
+    case AdmissionPolicyName.LeastCost:
+      return new LeastCostAdmissionPolicy(random);
+  }
 }
--- a/packages/gateway/src/fleet/work_tracker.ts
+++ b/packages/gateway/src/fleet/work_tracker.ts
@@ -1,5 +1,6 @@
 import type {TrackedWork} from './tracked_work.js';
 import type {WorkItem} from './work_item.js';
+import type {WorkTotals} from './work_totals.js';
 
 /**
  * Factor on the expected decoding time of peer work, after which it expires.
@@ -16,6 +17,12 @@
 export class WorkTracker {
   private readonly workById = new Map<string, TrackedWork>();
   private busyUntilMs = 0;
+  private readonly sums = {
+    streams: 0,
+    prefillMs: 0,
+    decodeMs: 0,
+    lossIfLate: 0,
+  };
 
   /** Adds work of this host, which stays until it is removed. */
   add(id: string, item: WorkItem, nowMs: number): void {
@@ -43,10 +50,15 @@
   remove(id: string, nowMs: number): void {
     const item = this.workById.get(id);
     if (!item) return;
-    this.workById.delete(id);
+    this.forget(id, item);
     if (!item.prefillDone) this.releaseUnusedTime(item, nowMs);
   }
 
+  /** Sums over the work that has not ended. */
+  get totals(): WorkTotals {
+    return this.sums;
+  }
+
   /** Prefill time that is queued ahead of new work, in milliseconds. */
   backlogMs(nowMs: number): number {
     return Math.max(0, this.busyUntilMs - nowMs);
@@ -56,7 +68,7 @@
   entries(nowMs: number): TrackedWork[] {
     const active: TrackedWork[] = [];
     for (const [id, item] of this.workById) {
-      if (item.expiresMs <= nowMs) this.workById.delete(id);
+      if (item.expiresMs <= nowMs) this.forget(id, item);
       else active.push(item);
     }
     return active;
@@ -68,7 +80,10 @@
     nowMs: number,
     expiresMs: number,
   ): void {
+    const known = this.workById.get(id);
+    if (known) this.forget(id, known);
     this.busyUntilMs = Math.max(this.busyUntilMs, nowMs) + item.prefillMs;
+    this.count(item, 1);
     this.workById.set(id, {
       ...item,
       placedMs: nowMs,
@@ -78,6 +93,19 @@
     });
   }
 
+  private forget(id: string, item: TrackedWork): void {
+    this.workById.delete(id);
+    this.count(item, -1);
+  }
+
+  private count(item: WorkItem, sign: 1 | -1): void {
+    const {sums} = this;
+    sums.streams += item.decodeMs > 0 ? sign : 0;
+    sums.prefillMs += sign * item.prefillMs;
+    sums.decodeMs += sign * item.decodeMs;
+    sums.lossIfLate += sign * item.lossIfLate;
+  }
+
   /** Shortens the backlog by prefill time that is no longer needed. */
   private releaseUnusedTime(item: TrackedWork, nowMs: number): void {
     const unusedMs = Math.min(item.prefillEndMs - nowMs, item.prefillMs);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,6 +1,8 @@
 export {AdmissionPolicy} from './admission/admission_policy.js';
 export {AdmissionPolicyName} from './admission/admission_policy_name.js';
+export {AdmissionPolicies} from './admission/admission_policies.js';
 export {createAdmissionPolicy} from './admission/create_admission_policy.js';
+export {ServiceUrgencies} from './admission/service_urgencies.js';
 export {checkConfig} from './config/check_config.js';
 export {type ClientLimits} from './config/client_limits.js';
 export {type ConfigIssue} from './config/config_issue.js';
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -1,5 +1,5 @@
 import type {ByteBudget} from '../bytes/byte_budget.js';
-import type {AdmissionPolicy} from '../admission/admission_policy.js';
+import type {AdmissionPolicies} from '../admission/admission_policies.js';
 import type {ConnectionPools} from '../connection/connection_pools.js';
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
@@ -31,7 +31,7 @@
   readonly knownBackends: Pick<KnownBackends, 'wait'>;
   readonly connections: ConnectionPools;
   readonly placements: PlacementPolicies;
-  readonly admission: AdmissionPolicy;
+  readonly admission: AdmissionPolicies;
   readonly retryBudget: SharedRetryBudget;
   readonly memory: MemoryReservationManager;
   readonly notices: PeerNotices;
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -1,5 +1,7 @@
 import {getLogger, monotonicMs, RunState} from '@vanillamux/shared';
 import type {PlacementDecision} from '../placement/placement_decision.js';
+import type {AdmissionRefusal} from '../admission/admission_refusal.js';
+import {RefusalReason} from '../admission/refusal_reason.js';
 import {RelayDirection} from '../relay/relay_direction.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
@@ -10,7 +12,6 @@
 import type {StreamProgress} from './stream_progress.js';
 
 const LOSS_DIGITS = 3;
-
 const log = getLogger('request');
 
 /** Reports what happens to one request to the log, metrics and record. */
@@ -58,21 +59,32 @@
     });
   }
 
-  /** Reports that the engines' backlog rules out an attempt. */
-  reportBacklog({prediction}: PlacementDecision, returnMs: number): void {
+  /** Reports that admission rules out an attempt. */
+  reportRefusal(
+    {prediction}: PlacementDecision,
+    {reason, returnMs, inputs}: AdmissionRefusal,
+  ): void {
     const {route, service, metadata} = this.request;
-    this.components.metrics.countBacklogRefusal(service.name);
+    this.components.metrics.countAdmissionRefusal(
+      service.name,
+      route.priority,
+      reason,
+    );
     if (!prediction) return;
-    log.info('No attempt for the backlog of the engines.', {
+    const fields = {
       request: metadata.requestId,
       route: route.name,
       goalMs: route.latencyGoalMs,
       firstEventMs: Math.round(prediction.firstEventMs),
       idleFirstEventMs: Math.round(prediction.idleFirstEventMs),
       attempt: this.attempts + 1,
+      ...roundInputs(inputs),
       returnMs,
       ageMs: this.ageMs(),
-    });
+    };
+    if (reason === RefusalReason.Price)
+      log.info('No attempt, as the room serves others better.', fields);
+    else log.info('No attempt for the backlog of the engines.', fields);
   }
 
   /** Reports that nothing has arrived from a backend server for too long. */
@@ -194,3 +206,14 @@
     return Math.round(monotonicMs() - this.request.startedMs);
   }
 }
+
+function roundInputs(
+  inputs: AdmissionRefusal['inputs'] = {},
+): Record<string, number> {
+  return Object.fromEntries(
+    Object.entries(inputs).map(([name, value]) => [
+      name,
+      Number(value.toPrecision(LOSS_DIGITS)),
+    ]),
+  );
+}
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -23,6 +23,7 @@
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {PlacementClaim} from './placement_claim.js';
+import {refuseAtOnce} from './refuse_at_once.js';
 import {RequestCandidates} from './request_candidates.js';
 import {RequestReporter} from './request_reporter.js';
 import type {RunningAttempt} from './running_attempt.js';
@@ -256,16 +257,12 @@
    * may have run is sent, unless that one goes on.
    */
   private refuseForBacklog(decision: PlacementDecision): boolean {
-    const {route} = this.request;
     const isCommitted = this.possibleRuns > 0 && this.running.size === 0;
     if (isCommitted) return false;
-    const returnMs = this.components.admission.refuse({
-      latencyGoalMs: route.latencyGoalMs,
-      prediction: decision.prediction,
-    });
-    if (returnMs === undefined) return false;
-    this.retryAfterMs = returnMs;
-    this.reporter.reportBacklog(decision, returnMs);
+    const refusal = refuseAtOnce(this.components, this.request, decision);
+    if (!refusal) return false;
+    this.retryAfterMs = refusal.returnMs;
+    this.reporter.reportRefusal(decision, refusal);
     return true;
   }
 
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -15,7 +15,7 @@
   type Address,
   type Result,
 } from '@vanillamux/shared';
-import {createAdmissionPolicy} from '../admission/create_admission_policy.js';
+import {AdmissionPolicies} from '../admission/admission_policies.js';
 import {ByteBudget} from '../bytes/byte_budget.js';
 import {ColdBackends} from '../cold_backends/cold_backends.js';
 import {ConnectionPools} from '../connection/connection_pools.js';
@@ -421,7 +421,7 @@
         settings.placement,
         settings.failureDomain,
       ),
-      admission: createAdmissionPolicy(settings.admission),
+      admission: new AdmissionPolicies(settings.admission),
       retryBudget: this.retryBudget,
       requestRecorder: new RequestRecorder(this.recorder),
       memory: new MemoryReservationManager({
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -1,5 +1,6 @@
 import {addGauge} from '@vanillamux/control';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import {RefusalReason} from '../admission/refusal_reason.js';
 import type {RouteSpec} from '../config/route_spec.js';
 import type {AttemptOutcome} from '../request/attempt_outcome.js';
 import type {QuarantineEvent} from '../quarantine/quarantine_event.js';
@@ -93,6 +94,12 @@
     labelNames: ['service', 'status'],
     registers: [this.registry],
   });
+  private readonly admissionRefusals = new Counter({
+    name: 'vmux_gateway_admission_refusals_total',
+    help: 'Attempts that admission ruled out, by service, priority of the route and reason.',
+    labelNames: ['service', 'priority', 'reason'],
+    registers: [this.registry],
+  });
   private readonly relays = new Counter({
     name: 'vmux_gateway_relays_total',
     help: 'Requests that this host relayed to another entry host, or received from one.',
@@ -266,9 +273,14 @@
     this.permits.inc({verdict});
   }
 
-  /** Counts an attempt that the backlog of the engines ruled out. */
-  countBacklogRefusal(service: string): void {
-    this.backlogRefusals.inc({service});
+  /** Counts an attempt that admission ruled out. */
+  countAdmissionRefusal(
+    service: string,
+    priority: number,
+    reason: RefusalReason,
+  ): void {
+    this.admissionRefusals.inc({service, priority, reason});
+    if (reason === RefusalReason.Backlog) this.backlogRefusals.inc({service});
   }
 
   /** Counts a request that a backend server rejected as this host wrote it. */
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -57,9 +57,8 @@
     placement: z
       .nativeEnum(PlacementPolicyName)
       .default(PlacementPolicyName.EngineTime),
-    admission: z
-      .nativeEnum(AdmissionPolicyName)
-      .default(AdmissionPolicyName.Backlog),
+    /** By default the configuration decides for each service. */
+    admission: z.nativeEnum(AdmissionPolicyName).optional(),
     /**
      * Whether hosts tell each other which backend servers fail requests, as
      * where servers are uneven and one host sees little of each.
--- a/packages/load/src/day/create_route.ts
+++ b/packages/load/src/day/create_route.ts
@@ -1,8 +1,8 @@
 import {RetryPolicy, type RouteSpec} from '@vanillamux/gateway';
-import type {DayArrival} from './day_arrival.js';
+import type {RequestClass} from './day_spec.js';
 
-/** Creates the route of an arrival; placement uses nothing but its goals. */
-export function createRoute({requestClass}: DayArrival): RouteSpec {
+/** Creates the route of a class; placement uses nothing but its goals. */
+export function createRoute(requestClass: RequestClass): RouteSpec {
   return {
     name: requestClass.name,
     host: 'virtual.example',
@@ -13,7 +13,7 @@
     timeoutMs: requestClass.deadlineMs,
     latencyGoalMs: requestClass.goalMs,
     pauseGoalMs: requestClass.pauseGoalMs,
-    priority: 1,
+    priority: requestClass.priority,
     targets: [{service: 'engines', weight: 1}],
     maxAttempts: 2,
     isAnonymous: false,
--- a/packages/load/src/day/day_arrival.ts
+++ b/packages/load/src/day/day_arrival.ts
@@ -4,6 +4,7 @@
 export interface DayArrival {
   readonly atMs: number;
   readonly requestClass: RequestClass;
+  readonly workspace: string;
   /** Index of the entry host that the client is connected to. */
   readonly host: number;
   readonly promptTokens: number;
--- a/packages/load/src/day/day_simulation.ts
+++ b/packages/load/src/day/day_simulation.ts
@@ -3,7 +3,8 @@
   createAdmissionPolicy,
   observePace,
   PlacementClaim,
-  type AdmissionPolicy,
+  ServiceUrgencies,
+  type Backend,
   type PlacementClaimOptions,
   type PlacementDecision,
   type ServiceSpec,
@@ -46,17 +47,13 @@
   private readonly engines: VirtualEngines;
   private readonly hosts: readonly VirtualHost[];
   private readonly service: ServiceSpec;
-  private readonly admission: AdmissionPolicy;
+  private readonly urgencies: ServiceUrgencies;
   private nextWorkId = 0;
 
   constructor(private readonly options: SimulationOptions) {
-    const {spec, seed, placement, admission} = options;
+    const {spec, seed, placement, admission, sharesView} = options;
     const generator = xoroshiro128plus(seed);
     const random = (): number => uniformFloat64(generator);
-    this.admission = createAdmissionPolicy(
-      admission ?? AdmissionPolicyName.Backlog,
-      random,
-    );
     const failureDomainAt = (index: number): string =>
       `fd-${index % spec.failureDomains}`;
     this.service = {
@@ -69,18 +66,27 @@
     const engineDomains = Array.from({length: engines}, (_, index) =>
       failureDomainAt(index),
     );
+    this.urgencies = new ServiceUrgencies({
+      routes: spec.classes.map(createRoute),
+      workspaces: [],
+    });
     this.engines = new VirtualEngines(engines, spec.engine, this.clock);
-    this.hosts = Array.from(
-      {length: spec.failureDomains * spec.hostsPerDomain},
-      (_, index) =>
-        new VirtualHost({
-          failureDomain: failureDomainAt(index),
-          placement,
-          service: this.service,
-          engineDomains,
+    const createHost = (_: unknown, index: number): VirtualHost =>
+      new VirtualHost({
+        failureDomain: failureDomainAt(index),
+        placement,
+        admission: createAdmissionPolicy(
+          admission ?? AdmissionPolicyName.Backlog,
           random,
-        }),
-    );
+        ),
+        service: this.service,
+        engineDomains,
+        random,
+      });
+    const length = spec.failureDomains * spec.hostsPerDomain;
+    this.hosts = sharesView
+      ? Array<VirtualHost>(length).fill(createHost(undefined, 0))
+      : Array.from({length}, createHost);
   }
 
   /** Simulates the arrivals until the last response has ended. */
@@ -126,29 +132,45 @@
   private placeRequest(outcome: DayOutcome, reservationAttempts = 0): void {
     const {arrival} = outcome;
     const host = this.hosts[arrival.host]!;
-    const decision = host.placements.for(this.service).place({
-      service: this.service,
-      route: createRoute(arrival),
-      metadata: {
-        requestId: 'virtual',
-        promptTokens: arrival.promptTokens,
-        expectedOutputTokens: arrival.answerTokens,
-        maxOutputTokens: arrival.answerTokens,
-      },
-      candidates: host.backends,
+    const {service} = this;
+    const {nowMs} = this.clock;
+    const route = createRoute(arrival.requestClass);
+    const metadata = {
+      requestId: 'virtual',
+      promptTokens: arrival.promptTokens,
+      expectedOutputTokens: arrival.answerTokens,
+      maxOutputTokens: arrival.answerTokens,
+    };
+    const backends = this.presentBackends(host);
+    const decision = host.placements.for(service).place({
+      service,
+      route,
+      metadata,
+      candidates: backends,
       maxHelperEntries: MAX_HELPER_ENTRIES,
-      nowMs: this.clock.nowMs,
-      waitedMs: this.clock.nowMs - arrival.atMs,
+      nowMs,
+      waitedMs: nowMs - arrival.atMs,
     });
     if (!decision) return;
-    const returnMs =
+    const refusal =
       reservationAttempts === 0
-        ? this.admission.refuse({
-            latencyGoalMs: arrival.requestClass.goalMs,
+        ? host.admission.refuse({
+            service,
+            metadata,
+            route: route.name,
+            urgency: this.urgencies.of(
+              service.name,
+              route.priority,
+              route.priority,
+            ),
+            workspace: arrival.workspace,
+            latencyGoalMs: route.latencyGoalMs,
             prediction: decision.prediction,
+            backends,
+            nowMs,
           })
         : undefined;
-    if (returnMs !== undefined) return this.refuseRequest(outcome, returnMs);
+    if (refusal) return this.refuseRequest(outcome, refusal.returnMs);
     outcome.prefillEngineCount = decision.helpers.length + 1;
     outcome.predictedFirstEventMs = decision.prediction?.firstEventMs;
     if (this.engines.reserve(decision)) {
@@ -160,6 +182,15 @@
     );
   }
 
+  /** Backend servers of the engines that have not left, as a host sees them. */
+  private presentBackends({backends}: VirtualHost): readonly Backend[] {
+    const second = this.clock.nowMs / MS_PER_SECOND;
+    const departed = this.options.spec.departures.find(
+      ({fromSecond, toSecond}) => second >= fromSecond && second < toSecond,
+    );
+    return departed ? backends.slice(departed.engines) : backends;
+  }
+
   /** Refuses a request, whose client may return. */
   private refuseRequest(outcome: DayOutcome, returnMs: number): void {
     outcome.refusals++;
--- a/packages/load/src/day/day_spec_schema.ts
+++ b/packages/load/src/day/day_spec_schema.ts
@@ -27,6 +27,8 @@
     /** Credit for a request of mean prompt size within its goals, and late. */
     credit: positive,
     lateCredit: z.number().min(0),
+    /** 0 is the most urgent. */
+    priority: z.number().int().min(0).default(1),
   })
   .strict();
 
@@ -36,6 +38,8 @@
     toSecond: positive,
     /** Factor on the arrival rate by class name; 1 if absent. */
     factors: z.record(positive),
+    /** Factor on what workspaces send, by name; their requests are added. */
+    shares: z.record(positive).default({}),
   })
   .strict();
 
@@ -58,6 +62,34 @@
   })
   .strict();
 
+const departureSchema = z
+  .object({
+    /** Engines that leave, counted from the first. */
+    engines: positive.int(),
+    fromSecond: z.number().min(0),
+    toSecond: positive,
+  })
+  .strict();
+
+const workspaceSchema = z
+  .object({
+    name: z.string().min(1),
+    /** Weight of its requests among those of all workspaces. */
+    share: positive,
+  })
+  .strict();
+
+/** Events that a load has of its own. */
+const eventsSchema = {
+  phases: z.array(phaseSchema).default([]),
+  /** Intervals in which engines are slow. */
+  slowdowns: z.array(slowdownSchema).default([]),
+  /** Intervals in which engines take no new work. */
+  departures: z.array(departureSchema).default([]),
+  /** Intervals in which no host places requests, as when all restart. */
+  outages: z.array(outageSchema).default([]),
+};
+
 const engineSchema = z
   .object({
     batchSize: positive,
@@ -86,10 +118,14 @@
     /** One-way delay between a client and its entry host. */
     clientDelayMs: z.number().min(0),
     classes: z.array(classSchema).min(1),
-    phases: z.array(phaseSchema).default([]),
-    /** Intervals in which engines are slow. */
-    slowdowns: z.array(slowdownSchema).default([]),
-    /** Intervals in which no host places requests, as when all restart. */
-    outages: z.array(outageSchema).default([]),
+    workspaces: z
+      .array(workspaceSchema)
+      .min(1)
+      .default([{name: 'default', share: 1}]),
+    ...eventsSchema,
+    /** Loads that replace the events above. */
+    loads: z
+      .array(z.object({name: z.string().min(1), ...eventsSchema}).strict())
+      .default([]),
   })
   .strict();
--- a/packages/load/src/day/plan_day.ts
+++ b/packages/load/src/day/plan_day.ts
@@ -3,9 +3,13 @@
 import type {DayArrival} from './day_arrival.js';
 import type {RequestClass, DaySpec} from './day_spec.js';
 
+type Phase = DaySpec['phases'][number];
+
 const MS_PER_SECOND = 1_000;
 /** Each class has its own seed, so that changing one leaves others alone. */
 const CLASS_SEED_STEP = 7_919;
+/** Workspaces are drawn apart, so that naming some leaves the arrivals alone. */
+const WORKSPACE_SEED_STEP = 104_729;
 /** Standard deviation of the logarithm of a client's estimate. */
 const ESTIMATE_SIGMA = 0.5;
 
@@ -25,10 +29,11 @@
 ): DayArrival[] {
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
+  const workspaceGenerator = xoroshiro128plus(seed + WORKSPACE_SEED_STEP);
   const hosts = spec.failureDomains * spec.hostsPerDomain;
   const arrivals: DayArrival[] = [];
   const factors = spec.phases.map(
-    ({factors}) => factors[requestClass.name] ?? 1,
+    phase => (phase.factors[requestClass.name] ?? 1) * growth(spec, phase),
   );
   const maxFactor = Math.max(1, ...factors);
   let second = 0;
@@ -46,6 +51,11 @@
     arrivals.push({
       atMs: second * MS_PER_SECOND,
       requestClass,
+      workspace: chooseWorkspace(
+        spec,
+        second,
+        uniformFloat64(workspaceGenerator),
+      ),
       host: Math.floor(random() * hosts),
       promptTokens: Math.round(sampleSize(requestClass.promptTokens, random)),
       events,
@@ -59,10 +69,46 @@
   requestClass: RequestClass,
   second: number,
 ): number {
-  const phase = spec.phases.find(
+  const phase = phaseAt(spec, second);
+  if (!phase) return 1;
+  return (phase.factors[requestClass.name] ?? 1) * growth(spec, phase);
+}
+
+function phaseAt({phases}: DaySpec, second: number): Phase | undefined {
+  return phases.find(
     ({fromSecond, toSecond}) => second >= fromSecond && second < toSecond,
   );
-  return phase?.factors[requestClass.name] ?? 1;
+}
+
+/** Factor on all arrivals as some workspaces send more. */
+function growth({workspaces}: DaySpec, phase: Phase): number {
+  const usual = workspaces.reduce((sum, {share}) => sum + share, 0);
+  return sumShares(workspaces, phase) / usual;
+}
+
+function sumShares(
+  workspaces: DaySpec['workspaces'],
+  phase: Phase | undefined,
+): number {
+  return workspaces.reduce(
+    (sum, {name, share}) => sum + share * (phase?.shares[name] ?? 1),
+    0,
+  );
+}
+
+function chooseWorkspace(
+  spec: DaySpec,
+  second: number,
+  random: number,
+): string {
+  const {workspaces} = spec;
+  const phase = phaseAt(spec, second);
+  let left = random * sumShares(workspaces, phase);
+  for (const {name, share} of workspaces) {
+    left -= share * (phase?.shares[name] ?? 1);
+    if (left < 0) return name;
+  }
+  return workspaces.at(-1)!.name;
 }
 
 function sampleSize(
--- a/packages/load/src/day/virtual_host.ts
+++ b/packages/load/src/day/virtual_host.ts
@@ -1,6 +1,7 @@
 import {
   Backend,
   PlacementPolicies,
+  type AdmissionPolicy,
   type PlacedWork,
   type PlacementPolicyName,
   type ServiceSpec,
@@ -14,6 +15,7 @@
   readonly service: ServiceSpec;
   /** Failure domain of each engine, by index. */
   readonly engineDomains: readonly string[];
+  readonly admission: AdmissionPolicy;
   readonly random: () => number;
 }
 
@@ -21,11 +23,13 @@
 export class VirtualHost {
   readonly failureDomain: string;
   readonly placements: PlacementPolicies;
+  readonly admission: AdmissionPolicy;
   readonly backends: readonly Backend[];
 
   constructor(options: VirtualHostOptions) {
     const {failureDomain, placement, service, engineDomains, random} = options;
     this.failureDomain = failureDomain;
+    this.admission = options.admission;
     this.placements = new PlacementPolicies(placement, failureDomain, random);
     this.backends = engineDomains.map(
       (domain, index) =>
