--- a/packages/gateway/src/admission/least_cost_admission_policy.ts
+++ b/packages/gateway/src/admission/least_cost_admission_policy.ts
@@ -10,6 +10,7 @@
 import {returnTimeMs} from './return_time_ms.js';
 import {serviceRoom, type ServiceRoom} from './service_room.js';
 import {TypicalDensities} from './typical_densities.js';
+import type {Urgency} from './urgency.js';
 import {WorkspaceShares} from './workspace_shares.js';
 
 /** Share of all slots from which on room has a price. */
@@ -24,11 +25,14 @@
 const MAX_WORTH = 1.6;
 /** Most by which a route differs from the others for its requests' sizes. */
 const MAX_ROUTE_FACTOR = 1.3;
-/** Factor for each less urgent priority: the most urgent pay any price first. */
-const URGENCY_FACTOR = MAX_WORTH / MIN_WORTH;
+/**
+ * Share of all slots by which the price sets in later for each less urgent
+ * priority, and earlier for each more urgent one.
+ */
+const URGENCY_STEP = 0.1;
 /** Credit a millisecond of a request that names no tokens. */
 const MIN_DENSITY = 1e-6;
-/** Priorities below a request that count. */
+/** Priorities above and below a request that count. */
 const MAX_LEVELS = 3;
 /** Share of the goal of urgent requests that less urgent ones may queue up. */
 const URGENT_GOAL_SHARE = 0.65;
@@ -61,7 +65,7 @@
     const room = serviceRoom(spec, request.backends, queueMs, nowMs);
     const cost = admissionCost(spec, metadata);
     const worth = this.worth(request, cost, room);
-    const price = priceOf(Math.max(room.occupancy, room.queueShare));
+    const price = priceOf(Math.max(room.occupancy, room.queueShare), urgency);
     const firstEventMs =
       prediction.firstEventMs + unpredictedWaitMs(spec, room.slotWaitMs);
     const isLate = isKeptPastGoal(
@@ -86,7 +90,7 @@
 
   /** What a request pays for engine time, relative to the typical request. */
   private worth(
-    {route, workspace, urgency, nowMs}: AdmissionRequest,
+    {route, workspace, nowMs}: AdmissionRequest,
     {refusalCost, engineMs}: AdmissionCost,
     room: ServiceRoom,
   ): number {
@@ -97,8 +101,7 @@
       (density / typical) *
       clamp(routeFactor, 1 / MAX_ROUTE_FACTOR, MAX_ROUTE_FACTOR) *
       this.shares.factor(workspace, nowMs);
-    const levels = Math.min(MAX_LEVELS, urgency.levelsBelow);
-    return clamp(worth, MIN_WORTH, MAX_WORTH) * URGENCY_FACTOR ** levels;
+    return clamp(worth, MIN_WORTH, MAX_WORTH);
   }
 }
 
@@ -110,11 +113,16 @@
 }
 
 /** Price of room; 0 while it is not scarce. */
-function priceOf(occupancy: number): number {
-  if (occupancy <= SCARCE_OCCUPANCY) return 0;
+function priceOf(
+  occupancy: number,
+  {levelsBelow, levelsAbove}: Urgency,
+): number {
+  const levels =
+    Math.min(MAX_LEVELS, levelsBelow) - Math.min(MAX_LEVELS, levelsAbove);
   const scarcity =
-    (occupancy - SCARCE_OCCUPANCY) / (FULL_OCCUPANCY - SCARCE_OCCUPANCY);
-  return MIN_WORTH + (MAX_WORTH - MIN_WORTH) * scarcity;
+    (occupancy - SCARCE_OCCUPANCY - URGENCY_STEP * levels) /
+    (FULL_OCCUPANCY - SCARCE_OCCUPANCY);
+  return scarcity <= 0 ? 0 : MIN_WORTH + (MAX_WORTH - MIN_WORTH) * scarcity;
 }
 
 /** Wait for a slot beyond what the placement predicts. */
--- a/packages/load/__tests__/play_command.test.ts
+++ b/packages/load/__tests__/play_command.test.ts
@@ -10,6 +10,9 @@
 const DAY = fileURLToPath(
   new URL('../../../../examples/poldtoetus/days/heavy.yaml', import.meta.url),
 );
+const SCARCE_DAY = fileURLToPath(
+  new URL('../../../../examples/smallcal/days/scarce.yaml', import.meta.url),
+);
 
 const CASES = [
   {
@@ -36,6 +39,12 @@
     status: 2,
     output: /--admission: Invalid enum value\. Expected 'open' \| 'backlog'/,
   },
+  {
+    name: 'an unknown load',
+    args: [SCARCE_DAY, '--load', 'none'],
+    status: 2,
+    output: /--load: expected one of short, long, /,
+  },
   {
     name: 'days that are not a number',
     args: [DAY, '--days', 'many'],
--- a/packages/load/src/bin/vmux_load.ts
+++ b/packages/load/src/bin/vmux_load.ts
@@ -25,6 +25,7 @@
   readonly seed: number;
   readonly placement?: string;
   readonly admission: AdmissionPolicyName;
+  readonly load?: string;
 }
 
 const playFlagsSchema = z.object({
@@ -52,6 +53,7 @@
   .option('--admission <name>', Object.values(AdmissionPolicyName).join(', '), {
     default: AdmissionPolicyName.Backlog,
   })
+  .option('--load <name>', 'One of the loads that the day names')
   .action(runSimulation);
 cli.help();
 cli.version(VERSION);
@@ -89,13 +91,18 @@
   if (placements.length === 0) {
     return reportInputError(`--placement: expected one of ${known.join(', ')}`);
   }
+  const load = spec.value.loads.find(({name}) => name === flags.load);
+  if (flags.load && !load) {
+    const names = spec.value.loads.map(({name}) => name).join(', ');
+    return reportInputError(`--load: expected one of ${names}`);
+  }
   const seeds = Array.from(
     {length: flags.days},
     (_, index) => flags.seed + index,
   );
   const {admission} = checked.data;
   const results = comparePlacements({
-    spec: spec.value,
+    spec: {...spec.value, ...load},
     seeds,
     placements,
     admission,
