fix(gateway): floors for what a host seldom sees, shares that leave no room

A lot decides until the host knows the group. A workspace beyond its share made room that nobody used; the others now count more by as much.

--- a/packages/gateway/src/admission/admission_floor.ts
+++ b/packages/gateway/src/admission/admission_floor.ts
@@ -8,6 +8,9 @@
  */
 const MIN_RELATIVE_SHARE = 0.6;
 
+/** Requests, one more than decided, from which on a group's share is known. */
+const MIN_COUNT = 4;
+
 interface Group {
   count: number;
   /** Share of the requests that were admitted. */
@@ -22,13 +25,17 @@
   private readonly groups = new Map<string, Group>();
   private readonly all: Group = {count: 1, share: 1};
 
-  /** Whether one of the groups gets less than its floor. */
+  constructor(private readonly random: () => number) {}
+
+  /**
+   * Whether one of the groups gets less than its floor. A lot decides for a
+   * first group that this host hardly knows, as others may have refused it.
+   */
   isBelow(groups: readonly string[]): boolean {
     const floor = MIN_RELATIVE_SHARE * this.all.share;
-    return groups.some(name => {
-      const group = this.groups.get(name);
-      return group !== undefined && group.share < floor;
-    });
+    const first = this.groups.get(groups[0] ?? '');
+    if ((first?.count ?? 0) < MIN_COUNT && this.random() < floor) return true;
+    return groups.some(name => (this.groups.get(name)?.share ?? 1) < floor);
   }
 
   /** Counts a decision on a request of these groups. */
--- a/packages/gateway/src/admission/least_cost_admission_policy.ts
+++ b/packages/gateway/src/admission/least_cost_admission_policy.ts
@@ -50,10 +50,11 @@
 export class LeastCostAdmissionPolicy extends AdmissionPolicy {
   private readonly densities = new TypicalDensities();
   private readonly shares = new WorkspaceShares();
-  private readonly floor = new AdmissionFloor();
+  private readonly floor: AdmissionFloor;
 
   constructor(private readonly random: () => number = Math.random) {
     super();
+    this.floor = new AdmissionFloor(random);
   }
 
   refuse(request: AdmissionRequest): AdmissionRefusal | undefined {
--- a/packages/gateway/src/admission/workspace_shares.ts
+++ b/packages/gateway/src/admission/workspace_shares.ts
@@ -19,18 +19,27 @@
   private readonly usages = new Map<string, Usage>();
 
   /**
-   * Factor on the cost of refusing a workspace's request: below 1 if it uses
-   * more than its share of what this host has granted.
+   * Factor on the cost of refusing a workspace's request: lower the more it uses
+   * beyond its share of what this host has granted. The mean over the engine time
+   * that was granted is 1, so that no room is left unused.
    */
   factor(workspace: string | undefined, nowMs: number): number {
     if (workspace === undefined || this.usages.size < 2) return 1;
-    let total = 0;
-    for (const usage of this.usages.values()) total += decayed(usage, nowMs);
-    const own = this.usages.get(workspace);
-    if (!own) return 1;
-    const fairMs = (TOLERANCE * total) / this.usages.size + MIN_ENGINE_MS;
-    const factor = fairMs / (decayed(own, nowMs) + MIN_ENGINE_MS);
-    return Math.min(1, Math.max(MIN_FACTOR, factor));
+    const used = new Map<string, number>();
+    let totalMs = 0;
+    for (const [name, usage] of this.usages) {
+      const usedMs = decayed(usage, nowMs);
+      used.set(name, usedMs);
+      totalMs += usedMs;
+    }
+    if (totalMs === 0) return 1;
+    const fairMs = (TOLERANCE * totalMs) / used.size + MIN_ENGINE_MS;
+    const rate = (usedMs: number): number =>
+      Math.min(1, Math.max(MIN_FACTOR, fairMs / (usedMs + MIN_ENGINE_MS)));
+    let mean = 0;
+    for (const usedMs of used.values())
+      mean += (usedMs / totalMs) * rate(usedMs);
+    return rate(used.get(workspace) ?? 0) / mean;
   }
 
   /** Counts a request that was admitted. */
