--- a/packages/gateway/src/admission/least_cost_admission_policy.ts
+++ b/packages/gateway/src/admission/least_cost_admission_policy.ts
@@ -60,10 +60,12 @@
   refuse(request: AdmissionRequest): AdmissionRefusal | undefined {
     const {service, prediction, metadata, urgency, nowMs} = request;
     const spec = service.engine;
-    if (!prediction || !spec || request.backends.length === 0) return undefined;
+    if (!prediction || !spec) return undefined;
+    const {backends} = request;
+    if (backends.length === 0) return undefined;
     const urgentGoalMs = urgency.urgentGoalMs ?? Infinity;
     const queueMs = URGENT_GOAL_SHARE * urgentGoalMs;
-    const room = serviceRoom(spec, request.backends, queueMs, nowMs);
+    const room = serviceRoom(spec, backends, queueMs, nowMs);
     const cost = admissionCost(spec, metadata);
     const worth = this.worth(request, cost, room);
     const price = priceOf(Math.max(room.occupancy, room.queueShare), urgency);
--- a/packages/gateway/src/request/refuse_at_once.ts
+++ b/packages/gateway/src/request/refuse_at_once.ts
@@ -24,7 +24,10 @@
     workspace,
     latencyGoalMs: route.latencyGoalMs,
     prediction,
-    backends: components.backends.candidates(service.name),
+    // Not every policy asks for them.
+    get backends() {
+      return components.backends.candidates(service.name);
+    },
     nowMs: monotonicMs(),
   });
 }
