--- a/packages/gateway/src/request_limits/request_limit_manager.ts
+++ b/packages/gateway/src/request_limits/request_limit_manager.ts
@@ -37,9 +37,10 @@
 
 /**
  * Keeps the requests of all entry hosts together below the limits that backend
- * servers name, and below what cold ones stand. Every host learns of a limit; one host, by rendezvous hash, owns
- * such a backend server and issues the permits that each request to it
- * requires. A host that cannot reach the owner sends nothing there.
+ * servers name, and below what cold ones stand. Every host learns of a limit;
+ * one host, by rendezvous hash, owns such a backend server and issues the permits
+ * that each request to it requires. A host that cannot reach the owner sends
+ * nothing there.
  */
 export class RequestLimitManager extends FactSource {
   private readonly table = new RequestLimitTable();
