fix(gateway): requests wait after a restart only where the settings ask for it

A wait made for 75 hosts that overload the first servers was in force on every deployment, and could not be switched off.

waitsAfterRestart, false by default, switches it on; entry hosts then tell their counts, and nothing is waited for or told otherwise.

--- a/packages/gateway/__tests__/known_backends.test.ts
+++ b/packages/gateway/__tests__/known_backends.test.ts
@@ -27,7 +27,11 @@
   let nowMs = 0;
   let learned = 0;
   const backends = new BackendPool();
-  const known = new KnownBackends({backends, now: () => nowMs});
+  const known = new KnownBackends({
+    isEnabled: true,
+    backends,
+    now: () => nowMs,
+  });
   const learn = (total: number): void => {
     for (; learned < total; learned++)
       backends.apply(reported(createPresence({id: `b${learned}`})));
--- a/packages/gateway/src/failing_backends/failing_backends.ts
+++ b/packages/gateway/src/failing_backends/failing_backends.ts
@@ -82,6 +82,7 @@
     const nowMs = this.now();
     if (evidence.phase(nowMs) !== FailingPhase.Sound) return;
     const weight = evidence.weightAtLatest(nowMs);
+    if (weight < MIN_WEIGHT) return;
     const usual = this.usualWeight(presence);
     if (weight < MIN_WEIGHT + USUAL_FACTOR * usual) return;
     evidence.judgeFailing();
--- a/packages/gateway/src/known_backends/known_backends.ts
+++ b/packages/gateway/src/known_backends/known_backends.ts
@@ -11,6 +11,8 @@
 
 /** Options of `KnownBackends`. */
 export interface KnownBackendsOptions {
+  /** Whether the settings of the deployment ask for it; requests wait only then. */
+  readonly isEnabled: boolean;
   readonly backends: Pick<BackendPool, 'candidates' | 'services'>;
   readonly now?: () => number;
 }
@@ -35,9 +37,13 @@
     this.now = options.now ?? monotonicMs;
   }
 
-  /** Backend servers of each service that this host may send requests to. */
-  get counts(): BackendCounts {
-    const {backends} = this.options;
+  /**
+   * Backend servers of each service that this host may send requests to, for the
+   * control hosts; `undefined` where nobody waits for them.
+   */
+  get counts(): BackendCounts | undefined {
+    const {isEnabled, backends} = this.options;
+    if (!isEnabled) return undefined;
     return Object.fromEntries(
       backends
         .services()
@@ -103,6 +109,7 @@
   }
 
   private areEnough(service: string): boolean {
+    if (!this.options.isEnabled) return true;
     if (this.isSettled || this.now() >= this.closesMs) return true;
     const expected = this.expected.get(service) ?? 0;
     const known = this.options.backends.candidates(service).length;
--- a/packages/gateway/src/link/link_listener.ts
+++ b/packages/gateway/src/link/link_listener.ts
@@ -17,7 +17,7 @@
   /** Revision of the emptied failure domains that this host knows. */
   abstract get evacuationRevision(): number;
   /** Backend servers of each service that this host may send requests to. */
-  abstract get knownBackends(): BackendCounts;
+  abstract get knownBackends(): BackendCounts | undefined;
   abstract onEvacuation(view: EvacuationView): void;
   abstract onDocument(document: PublishedDocument): void;
   /**
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -109,7 +109,7 @@
 export class Gateway implements LinkListener {
   private readonly config: ConfigStore;
   private readonly backends = new BackendPool();
-  private readonly known = new KnownBackends({backends: this.backends});
+  private readonly known: KnownBackends;
   private readonly connections: ConnectionPools;
   private readonly retryBudget: SharedRetryBudget;
   private readonly readiness: Readiness;
@@ -145,6 +145,10 @@
   private constructor(private readonly options: GatewayOptions) {
     const {settings, dialect} = options;
     this.config = new ConfigStore(dialect);
+    this.known = new KnownBackends({
+      isEnabled: settings.waitsAfterRestart,
+      backends: this.backends,
+    });
     this.connections = new ConnectionPools(options.resolve);
     this.readiness = new Readiness(this.config);
     const {retries} = settings;
@@ -309,7 +313,7 @@
     return this.backends.emptied.revision;
   }
 
-  get knownBackends(): BackendCounts {
+  get knownBackends(): BackendCounts | undefined {
     return this.known.counts;
   }
 
--- a/packages/gateway/src/server/gateway_settings_schema.ts
+++ b/packages/gateway/src/server/gateway_settings_schema.ts
@@ -64,6 +64,11 @@
      * where servers are uneven and one host sees little of each.
      */
     sharesFailures: z.boolean().default(false),
+    /**
+     * Whether requests wait, after a restart of every host, until most backend
+     * servers are known: many hosts would overload the few that report first.
+     */
+    waitsAfterRestart: z.boolean().default(false),
     /** Bounds on the requests of cold backend servers. */
     coldBackends: coldBackendsSchema.default({}),
     retries: retrySchema.default({}),
