fix(gateway): admission by cost learns from a request once, and says why it refuses

While an attempt is silent the policy is asked again every 250 ms, and counted each time in the floors, shares and typical costs, so that one slow request weighed like many. A client refused for the price of room was told of a backlog that there was not. With four priorities or more, the least urgent had a price from 45 % of the slots on, with over half of them free. Homes were looked up for each backend server of a decision, not for each failure domain.

--- a/packages/gateway/__tests__/least_cost_admission_policy.test.ts
+++ b/packages/gateway/__tests__/least_cost_admission_policy.test.ts
@@ -122,6 +122,14 @@
     },
     reason: RefusalReason.Price,
   },
+  {
+    name: 'half of all slots free, and the least urgent of many priorities',
+    request: {
+      backends: occupy(0.5 * SLOTS),
+      answerTokens: 9_000,
+      urgency: {levelsBelow: 0, levelsAbove: 8, urgentGoalMs: 250},
+    },
+  },
   {
     name: 'idle engines, and an urgent request that would be late',
     request: {prediction: LATE, urgency: URGENT},
@@ -174,6 +182,14 @@
     assert.equal(ask(policy, {backends, nowMs: 500}), undefined);
   });
 
+  it('learns from a request once, however often it asks', () => {
+    const backends = occupy(0.85 * SLOTS);
+    const long = {backends, answerTokens: 9_000};
+    const policy = createPolicy();
+    for (let at = 0; at < 100; at++) ask(policy, {...long, isRepeated: true});
+    assert.equal(ask(policy, long)?.reason, RefusalReason.Price);
+  });
+
   it('decides alike on a host that has just started', () => {
     const backends = occupy(SLOTS);
     const reasons = [
--- a/packages/gateway/src/admission/admission_request.ts
+++ b/packages/gateway/src/admission/admission_request.ts
@@ -18,5 +18,10 @@
   readonly prediction?: PlacementPrediction;
   /** Backend servers of the service that take requests. */
   readonly backends: readonly Backend[];
+  /**
+   * Whether the policy was asked for this request before, as beside a silent
+   * attempt. What a policy learns from requests, it learns once of each.
+   */
+  readonly isRepeated?: boolean;
   readonly nowMs: number;
 }
--- a/packages/gateway/src/admission/least_cost_admission_policy.ts
+++ b/packages/gateway/src/admission/least_cost_admission_policy.ts
@@ -32,8 +32,11 @@
 const URGENCY_STEP = 0.1;
 /** Credit a millisecond of a request that names no tokens. */
 const MIN_DENSITY = 1e-6;
-/** Priorities above and below a request that count. */
-const MAX_LEVELS = 3;
+/**
+ * Priorities above and below a request that count: room has a price for none
+ * while half of the slots are free.
+ */
+const MAX_LEVELS = 2;
 /** Share of the goal of urgent requests that less urgent ones may queue up. */
 const URGENT_GOAL_SHARE = 0.65;
 /** Binary logarithm of the factor between sizes of prompts of two groups. */
@@ -78,11 +81,11 @@
     const groups = groupsOf(request);
     const isAdmitted =
       !isLate && (worth >= price || this.floor.isBelow(groups));
-    this.floor.add(groups, isAdmitted);
-    if (isAdmitted) {
-      this.shares.add(request.workspace, cost.engineMs, nowMs);
-      return undefined;
+    if (!request.isRepeated) {
+      this.floor.add(groups, isAdmitted);
+      if (isAdmitted) this.shares.add(request.workspace, cost.engineMs, nowMs);
     }
+    if (isAdmitted) return undefined;
     const backlogMs = firstEventMs - prediction.idleFirstEventMs;
     return {
       reason: isLate ? RefusalReason.Backlog : RefusalReason.Price,
@@ -93,12 +96,14 @@
 
   /** What a request pays for engine time, relative to the typical request. */
   private worth(
-    {route, workspace, nowMs}: AdmissionRequest,
+    {route, workspace, isRepeated, nowMs}: AdmissionRequest,
     {refusalCost, engineMs}: AdmissionCost,
     room: ServiceRoom,
   ): number {
     const density = Math.max(MIN_DENSITY, refusalCost / Math.max(1, engineMs));
-    const typical = this.densities.add(route, density);
+    const typical = isRepeated
+      ? this.densities.typicalOf(route, density)
+      : this.densities.add(route, density);
     const routeFactor = room.density > 0 ? typical / room.density : 1;
     const worth =
       (density / typical) *
--- a/packages/gateway/src/admission/typical_densities.ts
+++ b/packages/gateway/src/admission/typical_densities.ts
@@ -16,6 +16,12 @@
 export class TypicalDensities {
   private readonly byRoute = new Map<string, Typical>();
 
+  /** Returns what is typical of a route; `density` for one without requests. */
+  typicalOf(route: string, density: number): number {
+    const typical = this.byRoute.get(route);
+    return typical ? Math.exp(typical.meanLog) : density;
+  }
+
   /** Adds a request and returns what is typical of its route. */
   add(route: string, density: number): number {
     const typical = this.byRoute.get(route) ?? {count: 0, meanLog: 0};
--- a/packages/gateway/src/request/request_candidates.ts
+++ b/packages/gateway/src/request/request_candidates.ts
@@ -153,10 +153,14 @@
   }
 
   private atHome(): Backend[] {
-    const {components, service} = this.options;
-    return components.backends
-      .candidates(service)
-      .filter(backend => this.isHome(backend));
+    const {components, service, mayUse} = this.options;
+    const isHome = new Map<string, boolean>();
+    return components.backends.candidates(service).filter(({presence}) => {
+      const {failureDomain} = presence;
+      const known = isHome.get(failureDomain) ?? mayUse(failureDomain);
+      isHome.set(failureDomain, known);
+      return known;
+    });
   }
 
   private isHome({presence}: Backend): boolean {
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -23,6 +23,7 @@
 import type {ClientRequest} from './client_request.js';
 import type {GatewayComponents} from './gateway_components.js';
 import {PlacementClaim} from './placement_claim.js';
+import {refusalText} from '../admission/refusal_text.js';
 import {refuseAtOnce} from './refuse_at_once.js';
 import {RequestCandidates} from './request_candidates.js';
 import {RequestReporter} from './request_reporter.js';
@@ -69,6 +70,7 @@
   private readonly running = new RunningAttempts();
   private readonly planLimit: PlanLimit;
   private attempts = 0;
+  private hasAskedAdmission = false;
   /** Attempts that have ended and that a backend server may have run. */
   private endedRuns = 0;
   /** Attempts that have ended and may have reached a backend server. */
@@ -175,8 +177,8 @@
       }
       const decision = this.place();
       if (decision) {
-        if (this.refuseForBacklog(decision))
-          return 'the backlog of the engines exceeds the goal';
+        const unadmitted = this.refusal(decision);
+        if (unadmitted) return unadmitted;
         const limited = this.candidates.limitedEngines(decision);
         if (limited.length > 0) {
           const isPermitted = await this.candidates.acquirePermits(limited);
@@ -253,17 +255,23 @@
   }
 
   /**
-   * Whether the request is better refused than sent. An attempt after one that
+   * Returns why the request is better refused than sent. An attempt after one that
    * may have run is sent, unless that one goes on.
    */
-  private refuseForBacklog(decision: PlacementDecision): boolean {
+  private refusal(decision: PlacementDecision): string | undefined {
     const isCommitted = this.possibleRuns > 0 && this.running.size === 0;
-    if (isCommitted) return false;
-    const refusal = refuseAtOnce(this.components, this.request, decision);
-    if (!refusal) return false;
+    if (isCommitted) return undefined;
+    const refusal = refuseAtOnce(
+      this.components,
+      this.request,
+      decision,
+      this.hasAskedAdmission,
+    );
+    this.hasAskedAdmission = true;
+    if (!refusal) return undefined;
     this.retryAfterMs = refusal.returnMs;
     this.reporter.reportRefusal(decision, refusal);
-    return true;
+    return refusalText(refusal.reason);
   }
 
   /** Chooses an entry host that relays, while this one has lost the service. */
