--- a/review/8/run.mjs
+++ b/review/8/run.mjs
@@ -4,8 +4,8 @@
 import {
   createConfig,
   HAS_TROUBLE,
-  JSA_BOUNDS,
   Operator,
+  PT_BOUNDS,
   Record,
   request,
   sleep,
@@ -14,13 +14,13 @@
 } from '../harness-2.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
-const ZONE = 'durgapur';
+const NEVER_HELD = 'key-that-no-version-held';
 
 const record = new Record(join(FOLDER, 'record.txt'));
 const system = await System.create({
   record,
-  zones: ['kolkata', 'durgapur', 'siliguri'],
-  bounds: JSA_BOUNDS,
+  zones: ['tartu-a', 'viljandi-b', 'voru-c'],
+  bounds: PT_BOUNDS,
 });
 const workers = [];
 let code = 2;
@@ -38,6 +38,7 @@
 async function play() {
   system.startControls();
   const operator = new Operator(system);
+  // Version 1 holds the key; an unknown key gets 401 there.
   if (!(await operator.replace(createConfig(1)))) return 2;
   system.startEdges();
   for (const zone of system.zones) {
@@ -47,41 +48,41 @@
   }
   await system.waitUntilReady();
   await sleep(1_500);
-  const begin = `/-/evacuation/${ZONE}/begin`;
-  const finish = `/-/evacuation/${ZONE}/finish`;
-  if (!(await operator.order(begin))) return 2;
-  await sleep(500);
-  const [, , frozen] = system.controls;
-  if (HAS_TROUBLE) frozen.signal('SIGSTOP');
-  // The first node that the operator picks stands still.
-  if (!(await operator.order(finish, {first: 2}))) return 2;
-  await sleep(500);
-  if (!(await operator.order(begin))) return 2;
-  const acknowledgedMs = Date.now();
-  await sleep(2_500);
-  if (HAS_TROUBLE) frozen.signal('SIGCONT');
-  const thawedMs = Date.now();
-  // From here on the machines are in touch, and the bound has passed.
-  const judgedFromMs = Math.max(
-    acknowledgedMs + JSA_BOUNDS.evacuation_ms,
-    thawedMs + 2 * JSA_BOUNDS.contact_ms,
+  for (const edge of system.edges) {
+    const known = await request(system, edge, '/submit/claim');
+    const unknown = await request(system, edge, '/submit/claim', {
+      key: NEVER_HELD,
+    });
+    if (known.status !== 200 || unknown.status !== 401) return 2;
+  }
+  // The key is taken away: from its tenant, or with the tenant, the last one.
+  const withoutKeys = HAS_TROUBLE
+    ? []
+    : [{name: 'tenant-a', api_keys: [], priority_level: 1}];
+  record.add(
+    `operator: version 2 has tenant_list ${JSON.stringify(withoutKeys)}`,
   );
-  await sleep(judgedFromMs + 500 - Date.now());
+  const config = createConfig(2, {tenant_list: withoutKeys});
+  if (!(await operator.replace(config))) return 2;
+  await sleep(PT_BOUNDS.apply_ms + 1_500);
   record.add('judged from here on');
-  const sent = new Set();
-  for (let round = 0; round < 20; round++) {
+  const sent = new Map();
+  for (let round = 0; round < 5; round++) {
     for (const edge of system.edges) {
-      const {id} = await request(system, edge, '/read/item');
-      sent.add(id);
+      for (const key of ['key-a', NEVER_HELD]) {
+        const {id, status} = await request(system, edge, '/submit/claim', {
+          key,
+        });
+        sent.set(id, {key, status});
+      }
     }
-    await sleep(50);
   }
-  const [emptied] = workers.filter(({zone}) => zone === ZONE);
-  const wrong = emptied.runs.filter(({id}) => sent.has(id));
-  const all = workers.flatMap(({runs}) => runs.filter(({id}) => sent.has(id)));
+  const runs = workers
+    .flatMap(worker => worker.runs)
+    .filter(({id}) => sent.has(id));
+  const count = key => runs.filter(({id}) => sent.get(id).key === key).length;
   record.add(
-    `${wrong.length} of ${all.length} requests were run in ${ZONE}, whose evacuation is acknowledged and was not taken back`,
+    `of ${sent.size} requests, workers ran ${count('key-a')} with the key that was taken away and ${count(NEVER_HELD)} with a key that no version held`,
   );
-  if (all.length < 20) return 2;
-  return wrong.length > 0 ? 1 : 0;
+  return runs.length > 0 ? 1 : 0;
 }
