--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -400,6 +400,11 @@
   }
 }
 
+/** Path at which a worker checks in. */
+export function heartbeatPath(id) {
+  return ['', '-', 'workers', id, 'heartbeat'].join('/');
+}
+
 /** A worker that answers every request, and checks in like the pages say. */
 export class Worker {
   constructor(system, {id, service, zone, capacity = 11, workMs = 20}) {
@@ -445,7 +450,7 @@
         host,
         corePort,
         'POST',
-        `/-/workers/${this.id}/heartbeat`,
+        heartbeatPath(this.id),
         {headers: {'content-type': 'application/json'}, body},
       );
       if (status < 200 || status > 299) {
