fix(gateway): a reset that comes with bytes is not the end of a body

Cause: Node.js reports a connection's reset as an ordinary end, and no error, when it finds bytes and the hang-up in one poll, as it does once the event loop was busy or the process frozen. With an upload, the write takes the error and the read finds an end. `Connection.failed` counted on an error that is reported first, so that undici's end of a body without a length was believed. Class: an end that is believed because no error was reported.

Change: `onReset` also asks at the end whether the system still knows the peer. It does after a peer's ordinary close, as this side has not closed yet, and does not after a reset.

--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,4 +1,5 @@
 import type {Socket} from 'node:net';
+import {onReset} from '@vanillamux/shared';
 import {Client} from 'undici';
 import {connectSocket} from './connect_socket.js';
 
@@ -22,11 +23,12 @@
       pipelining: 1,
       connect: (options, callback) =>
         connectSocket(options, (...result) => {
-          this.socket = result[1] ?? undefined;
-          // Registered before undici's own listener, which treats a reset as
+          const [, socket] = result;
+          this.socket = socket ?? undefined;
+          // Registered before undici's own listeners, which treat a reset as
           // the end of a response that has no length.
-          this.socket?.on('error', () => (this.failed = true));
-          this.socket?.on('readable', () => this.onReadable());
+          if (socket) onReset(socket, () => (this.failed = true));
+          socket?.on('readable', () => this.onReadable());
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
@@ -42,7 +44,7 @@
     });
   }
 
-  /** Whether the connection ended with an error, such as a reset. */
+  /** Whether the connection ended by an error or a reset. */
   get hasFailed(): boolean {
     return this.failed;
   }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -22,6 +22,7 @@
 export {LogLevel} from './log_level.js';
 export {type Logger} from './logger.js';
 export {monotonicMs} from './monotonic_ms.js';
+export {onReset} from './on_reset.js';
 export {parseAddress} from './parse_address.js';
 export {parseYaml} from './parse_yaml.js';
 export {readBody} from './read_body.js';
