fix(gateway): verify the server at the end of a body without a length

Cause: the system closes the connections of a process that has ended like one that has sent all, so that on the connection nothing tells a crash from an end.

Change: after such an end the host opens a connection to the server. A server that accepts it goes on, so it has ended the body itself: a whole body gets a length, a stream its last chunk. One that refuses it is gone, and the body counts as broken off: the request is repeated, resumed or fails, as after a reset. A server that has said that it leaves stops to listen before its last response ends, so its refusal proves nothing; a whole body is then sent without a length, as before. The cost is a round trip and a connection for each body without a length, none for others; `vmux_gateway_verified_ends_total` counts them.

--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -1,9 +1,10 @@
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import {sleep} from '@vanillamux/shared';
+import {sleep, type Address} from '@vanillamux/shared';
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
 import {connectSocket} from './connect_socket.js';
+import {ListenerState} from './listener_state.js';
 import type {ResolveAddress} from './resolve_address.js';
 
 /**
@@ -11,6 +12,9 @@
  * region, and the delay of a busy host.
  */
 const PROBE_HOLD_MS = 100;
+/** Covers the loss of single packets. */
+const MAX_LISTENER_CHECKS = 3;
+const REFUSED_CODE = 'ECONNREFUSED';
 
 /** Holds the connection pool of each backend server. */
 export class ConnectionPools {
@@ -35,14 +39,8 @@
    * request is sent on it.
    */
   async probe({presence}: Backend): Promise<boolean> {
-    const {host: hostname, port} = this.resolve(presence.address);
-    const options = {hostname, port: String(port), protocol: 'http:'};
-    const socket = await new Promise<Socket | null>(resolve =>
-      connectSocket(options, (...[error, opened]) =>
-        resolve(error ? null : opened),
-      ),
-    );
-    if (!socket) return false;
+    const socket = await this.connect(presence.address);
+    if (socket instanceof Error) return false;
     const failed = new AbortController();
     if (socket.destroyed) failed.abort();
     socket.on('error', () => failed.abort());
@@ -55,6 +53,22 @@
     return !hasFailed;
   }
 
+  /**
+   * Whether something listens at the address of a backend server or peer. No
+   * request is sent. Takes a round trip, or three timeouts for a connection.
+   */
+  async listenerState({presence}: Backend): Promise<ListenerState> {
+    for (let checks = 0; checks < MAX_LISTENER_CHECKS; checks++) {
+      const socket = await this.connect(presence.address);
+      if (!(socket instanceof Error)) {
+        socket.destroy();
+        return ListenerState.Listening;
+      }
+      if (socket.code === REFUSED_CODE) return ListenerState.Closed;
+    }
+    return ListenerState.Unreachable;
+  }
+
   /**
    * Removes the pool of an incarnation that has ended, and closes its idle
    * connections.
@@ -68,4 +82,12 @@
   close(): void {
     for (const backend of this.pools.keys()) this.remove(backend);
   }
+
+  private connect(address: Address): Promise<Socket | NodeJS.ErrnoException> {
+    const {host: hostname, port} = this.resolve(address);
+    const options = {hostname, port: String(port), protocol: 'http:'};
+    return new Promise(resolve =>
+      connectSocket(options, (error, socket) => resolve(error ?? socket!)),
+    );
+  }
 }
--- /dev/null
+++ b/packages/gateway/src/connection/listener_state.ts
@@ -0,0 +1,7 @@
+/** Whether a server accepts connections. */
+export enum ListenerState {
+  Listening = 'listening',
+  /** The server's host is up, and nothing listens at the address. */
+  Closed = 'closed',
+  Unreachable = 'unreachable',
+}
--- a/packages/gateway/src/relay/peer_destination.ts
+++ b/packages/gateway/src/relay/peer_destination.ts
@@ -1,5 +1,6 @@
 import {monotonicMs} from '@vanillamux/shared';
 import type {ExchangeRequest} from '../connection/exchange_request.js';
+import {ListenerState} from '../connection/listener_state.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 import {readRetryAfterMs} from '../dialect/read_retry_after_ms.js';
@@ -9,6 +10,7 @@
 import type {AttemptResult} from '../request/attempt_result.js';
 import type {ClientRequest} from '../request/client_request.js';
 import {Destination} from '../request/destination.js';
+import {EndVerdict} from '../request/end_verdict.js';
 import type {GatewayComponents} from '../request/gateway_components.js';
 import {readRelayRefusal} from './read_relay_refusal.js';
 import {RelayHeader} from './relay_header.js';
@@ -17,7 +19,10 @@
 
 /** Options of a `PeerDestination`. */
 export interface PeerDestinationOptions {
-  readonly components: Pick<GatewayComponents, 'dialect' | 'relayPeers'>;
+  readonly components: Pick<
+    GatewayComponents,
+    'connections' | 'dialect' | 'relayPeers'
+  >;
   /** Id of this entry host. */
   readonly hostId: string;
   readonly request: ClientRequest;
@@ -97,6 +102,15 @@
     return {outcome: AttemptOutcome.Incomplete, reason: 'not a valid response'};
   }
 
+  /** A peer gives a length to the bodies that it has found to be whole. */
+  async verifyEnd(): Promise<EndVerdict> {
+    const {components, decision} = this.options;
+    const state = await components.connections.listenerState(decision.backend);
+    return state === ListenerState.Listening
+      ? EndVerdict.Unproven
+      : EndVerdict.Broken;
+  }
+
   /** The peer is ejected; it says nothing of backend servers. */
   recordNoResponse(): void {}
 
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -3,14 +3,19 @@
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
 import {ExchangeError} from '../connection/exchange_error.js';
+import {isFramed} from '../connection/is_framed.js';
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
 import {createAbortedResult} from './create_aborted_result.js';
 import type {ClientRequest} from './client_request.js';
+import {createBrokenOffError} from './create_broken_off_error.js';
 import type {Destination} from './destination.js';
+import {EndVerdict} from './end_verdict.js';
 import type {GatewayComponents} from './gateway_components.js';
+import {hasBody} from './has_body.js';
 import type {PlacementClaim} from './placement_claim.js';
+import type {ReceivedBody} from './received_body.js';
 import type {ResponseWriter} from './response_writer.js';
 
 const MIN_SERVER_ERROR_STATUS = 500;
@@ -127,8 +132,8 @@
     head: ResponseHead,
     writer: ResponseWriter,
   ): Promise<AttemptResult> {
-    const body = await this.readBody(exchange);
-    if (!Buffer.isBuffer(body)) return this.handleExchangeError(body);
+    const body = await this.readBody(exchange, head);
+    if (body instanceof ExchangeError) return this.handleExchangeError(body);
     const {signal} = this.options;
     if (signal.aborted) return createAbortedResult(signal);
     this.options.onProgress();
@@ -143,13 +148,27 @@
    */
   protected async readBody(
     exchange: Exchange,
-  ): Promise<Buffer | ExchangeError> {
+    head: ResponseHead,
+  ): Promise<ReceivedBody | ExchangeError> {
     const {responseBytes} = this.components;
     const hold = responseBytes.open(this.decision.backend.presence.id);
-    const body = await this.readHeldBody(exchange, hold);
-    if (Buffer.isBuffer(body)) this.request.onRelease(() => hold.release());
-    else hold.release();
-    return body;
+    const bytes = await this.readHeldBody(exchange, hold);
+    const verdict = Buffer.isBuffer(bytes)
+      ? await this.verifyEnd(head)
+      : EndVerdict.Broken;
+    if (Buffer.isBuffer(bytes) && verdict !== EndVerdict.Broken) {
+      this.request.onRelease(() => hold.release());
+      return {bytes, isProvenWhole: verdict === EndVerdict.Whole};
+    }
+    hold.release();
+    return Buffer.isBuffer(bytes) ? createBrokenOffError() : bytes;
+  }
+
+  /** Finds out whether a body is whole whose connection has ended in order. */
+  protected async verifyEnd(head: ResponseHead): Promise<EndVerdict> {
+    if (isFramed(head) || !hasBody(this.request.req.method, head))
+      return EndVerdict.Whole;
+    return this.options.destination.verifyEnd();
   }
 
   private async readHeldBody(
@@ -214,8 +233,8 @@
     if (head.status < MIN_SERVER_ERROR_STATUS)
       return this.forwardResponse(exchange, head);
     this.decision.backend.failures.recordFailure(monotonicMs());
-    const body = await this.readBody(exchange);
-    if (!Buffer.isBuffer(body)) return this.handleExchangeError(body);
+    const body = await this.readBody(exchange, head);
+    if (body instanceof ExchangeError) return this.handleExchangeError(body);
     const reason = `backend server answered ${head.status}`;
     return {
       outcome: AttemptOutcome.FailureResponse,
--- a/packages/gateway/src/request/attempt_result.ts
+++ b/packages/gateway/src/request/attempt_result.ts
@@ -1,6 +1,7 @@
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Backend} from '../fleet/backend.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
+import type {ReceivedBody} from './received_body.js';
 
 /** Outcome of an attempt, with its reason. */
 export interface AttemptResult {
@@ -24,6 +25,6 @@
   /** Response with which the backend server reported a server error. */
   readonly failureResponse?: {
     readonly head: ResponseHead;
-    readonly body: Buffer;
+    readonly body: ReceivedBody;
   };
 }
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -1,5 +1,7 @@
 import {formatAddress, getLogger, monotonicMs} from '@vanillamux/shared';
+import {PresenceState} from '@vanillamux/protocol';
 import type {ExchangeRequest} from '../connection/exchange_request.js';
+import {ListenerState} from '../connection/listener_state.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 import type {PrefillHelper} from '../dialect/prefill_helper.js';
@@ -12,6 +14,7 @@
 import type {AttemptResult} from './attempt_result.js';
 import type {ClientRequest} from './client_request.js';
 import {Destination} from './destination.js';
+import {EndVerdict} from './end_verdict.js';
 import type {GatewayComponents} from './gateway_components.js';
 
 const log = getLogger('request');
@@ -74,6 +77,15 @@
     return this.checkResponse(metadata);
   }
 
+  async verifyEnd(): Promise<EndVerdict> {
+    const {connections, metrics} = this.options.components;
+    const {backend} = this.options.decision;
+    const state = await connections.listenerState(backend);
+    const verdict = this.judgeEnd(state);
+    metrics.countVerifiedEnd(backend.presence.service, verdict);
+    return verdict;
+  }
+
   recordNoResponse(): void {
     const {components, decision} = this.options;
     const {service, id} = decision.backend.presence;
@@ -88,6 +100,19 @@
     reachability.recordConnectTimeout(failureDomain, id, monotonicMs());
   }
 
+  /** A server that leaves stops to listen before its last responses end. */
+  private judgeEnd(state: ListenerState): EndVerdict {
+    if (state === ListenerState.Listening) return EndVerdict.Whole;
+    const {backends} = this.options.components;
+    const {presence} = this.options.decision.backend;
+    const isLeaving =
+      presence.state === PresenceState.Draining ||
+      backends.departures.has(presence);
+    return isLeaving && state === ListenerState.Closed
+      ? EndVerdict.Unproven
+      : EndVerdict.Broken;
+  }
+
   /** Lists the helpers; engines with a reservation come first, in order. */
   private listHelpers(): PrefillHelper[] {
     const {decision, reservations} = this.options;
--- a/packages/gateway/src/request/response_writer.ts
+++ b/packages/gateway/src/request/response_writer.ts
@@ -1,8 +1,9 @@
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
 import type {ResponseHead} from '../connection/response_head.js';
-import {isFramed} from '../connection/is_framed.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
+import {hasBody} from './has_body.js';
+import type {ReceivedBody} from './received_body.js';
 
 /** Time in which a client may read what was written before an abort. */
 const FLUSH_TIMEOUT_MS = 500;
@@ -11,9 +12,6 @@
  * round trips within a region.
  */
 const RESET_DELAY_MS = 20;
-/** Statuses of responses that have no body and no framing (RFC 9112, 6.3). */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
-
 /** Writes the response of a backend server to the client. */
 export class ResponseWriter {
   constructor(
@@ -27,17 +25,18 @@
   }
 
   /**
-   * Writes a response that was received to its end. One that only the end of the
-   * backend server's connection delimits stays so: a crashed server's connection
-   * ends in the plain way, and a length would make its part look complete.
+   * Writes a response that was received to its end. Only a body that is known to
+   * be whole gets a length: a length would make a part look complete.
    */
-  writeComplete(head: ResponseHead, body: Buffer): void {
+  writeComplete(
+    head: ResponseHead,
+    {bytes, isProvenWhole}: ReceivedBody,
+  ): void {
     const headers = endToEndHeaders(head.rawHeaders);
-    const hasBody =
-      this.res.req.method !== 'HEAD' && !BODILESS_STATUSES.has(head.status);
-    const isDelimited = !hasBody || isFramed(head);
-    if (hasBody && isDelimited)
-      headers.push('Content-Length', String(body.length));
+    const mayHaveBody = hasBody(this.res.req.method, head);
+    const isDelimited = !mayHaveBody || isProvenWhole;
+    if (mayHaveBody && isDelimited)
+      headers.push('Content-Length', String(bytes.length));
     if (!isDelimited) {
       this.res.removeHeader('Transfer-Encoding');
       this.res.shouldKeepAlive = false;
@@ -46,7 +45,7 @@
       head.status,
       this.addConnectionHeader(headers, isDelimited),
     );
-    this.res.end(body);
+    this.res.end(bytes);
   }
 
   /**
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -9,6 +9,8 @@
 import {AttemptOutcome} from './attempt_outcome.js';
 import {createAbortedResult} from './create_aborted_result.js';
 import type {AttemptResult} from './attempt_result.js';
+import {createBrokenOffError} from './create_broken_off_error.js';
+import {EndVerdict} from './end_verdict.js';
 import {EventSplitter} from './event_splitter.js';
 import type {StreamProgress} from './stream_progress.js';
 
@@ -92,15 +94,19 @@
       await writer.write(bytes, signal);
       if (signal.aborted) return createAbortedResult(signal);
     }
-    // A stream is complete if its end falls between events, with or without
-    // framing; the exchange itself fails on a reset. Without framing, an end
-    // before any event is that of the connection alone.
+    // A stream is complete if its end falls between events; the exchange itself
+    // fails on a reset. Without framing, an end before any event is that of the
+    // connection alone, and one after it may be that of the server.
     const hasEnded = hasEvents || isFramed(head);
     if (!hasEnded || splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
         new ExchangeError(true, 'ended inside an event', {isDisconnect: true}),
       );
     }
+    const verdict = await this.verifyEnd(head);
+    if (signal.aborted) return createAbortedResult(signal);
+    if (verdict === EndVerdict.Broken)
+      return this.handleExchangeError(createBrokenOffError());
     this.startForwarding(head);
     this.decision.backend.failures.recordSuccess(monotonicMs());
     writer.end();
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -6,6 +6,7 @@
 import type {QuarantineEvent} from '../quarantine/quarantine_event.js';
 import type {PermitVerdict} from '../request_limits/permit_verdict.js';
 import type {RelayDirection} from '../relay/relay_direction.js';
+import type {EndVerdict} from '../request/end_verdict.js';
 import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 
@@ -52,6 +53,12 @@
     labelNames: ['service', 'end'],
     registers: [this.registry],
   });
+  private readonly verifiedEnds = new Counter({
+    name: 'vmux_gateway_verified_ends_total',
+    help: 'Bodies that only the end of a connection delimits, by service and whether the server was still there.',
+    labelNames: ['service', 'verdict'],
+    registers: [this.registry],
+  });
   private readonly silentAttempts = new Counter({
     name: 'vmux_gateway_silent_attempts_total',
     help: 'Silent attempts beside which another one began, or none could.',
@@ -253,6 +260,11 @@
     this.failedAttempts.inc({service, end});
   }
 
+  /** Counts a body whose end was verified. */
+  countVerifiedEnd(service: string, verdict: EndVerdict): void {
+    this.verifiedEnds.inc({service, verdict});
+  }
+
   /** Counts an event of the quarantine of suspects. */
   countQuarantineEvent(event: QuarantineEvent): void {
     this.quarantineEvents.inc({event});
