fix(entry): a reset does not complete a response of a service

What callers saw: a part of a plain service's response that has no length, sent as the whole one with status 200; of an at-most-once request it is also stored in the register and replayed.

Cause: the undici client takes a reset for the end of a response that only the end of its connection delimits, and every call asks for `Connection: close`. It does so for the error, and for a reset that Node.js reports as an ordinary end because the event loop was busy.

Change: each call has a connection of its own anyway, so it now has a client of its own, whose connector watches for a reset before the client adds its listeners. `ResponseCheck` fails a response that ends by one.

--- a/packages/entry/src/service_client.ts
+++ b/packages/entry/src/service_client.ts
@@ -9,10 +9,9 @@
   type Address,
   type Result,
 } from '@vanillamux/shared';
-import {Agent, request, type Dispatcher} from 'undici';
-import {createLimitedConnector} from './create_limited_connector.js';
+import {request, type Dispatcher} from 'undici';
+import {ServiceConnection} from './service_connection.js';
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const MAX_RESPONSE_BYTES = 1_024 * 1_024;
 const FORWARDED_HEADERS = ['content-type', 'accept', 'idempotency-key'];
 /** Connection errors; no byte of the request has been sent. */
@@ -33,11 +32,7 @@
 
 /** Calls plain services over HTTP. */
 export class ServiceClient {
-  private readonly agent = new Agent({
-    connect: createLimitedConnector(CONNECT_TIMEOUT_MS),
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  private readonly connections = new Set<ServiceConnection>();
 
   /**
    * Sends a call once. An error's `ran` is `not_run` only if no byte can have
@@ -49,6 +44,26 @@
     call: ServiceCall,
     signal: AbortSignal,
   ): Promise<Result<StoredResponse>> {
+    try {
+      return await this.sendOnce(address, call, signal);
+    } catch (error) {
+      return fail(toServiceCallError(error, signal));
+    }
+  }
+
+  /** Closes all connections; calls in flight fail. */
+  async close(): Promise<void> {
+    const connections = [...this.connections];
+    await Promise.all(connections.map(connection => connection.close()));
+  }
+
+  private async sendOnce(
+    address: Address,
+    call: ServiceCall,
+    signal: AbortSignal,
+  ): Promise<Result<StoredResponse>> {
+    const connection = new ServiceConnection(address);
+    this.connections.add(connection);
     try {
       const response = await request(
         `http://${address.host}:${address.port}${call.path}`,
@@ -60,19 +75,16 @@
           },
           body: call.body.length > 0 ? call.body : undefined,
           reset: true,
-          dispatcher: this.agent,
+          dispatcher: connection.dispatcher,
           signal,
         },
       );
       return await readResponse(response);
-    } catch (error) {
-      return fail(toServiceCallError(error, signal));
+    } finally {
+      this.connections.delete(connection);
+      await connection.close();
     }
   }
-
-  async close(): Promise<void> {
-    await this.agent.destroy();
-  }
 }
 
 function selectForwardedHeaders(
--- /dev/null
+++ b/packages/entry/src/service_connection.ts
@@ -0,0 +1,36 @@
+import {onReset, type Address} from '@vanillamux/shared';
+import {Client, type Dispatcher} from 'undici';
+import {createLimitedConnector} from './create_limited_connector.js';
+import {ResponseCheck} from './response_check.js';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Connection to a plain service for one call. */
+export class ServiceConnection {
+  readonly dispatcher: Dispatcher;
+  private readonly client: Client;
+  private wasReset = false;
+
+  constructor({host, port}: Address) {
+    const connect = createLimitedConnector(CONNECT_TIMEOUT_MS);
+    this.client = new Client(`http://${host}:${port}`, {
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          const [, socket] = result;
+          if (socket) onReset(socket, () => (this.wasReset = true));
+          callback(...result);
+        }),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    this.dispatcher = this.client.compose(
+      dispatch => (options, handler) =>
+        dispatch(options, new ResponseCheck(handler, () => this.wasReset)),
+    );
+  }
+
+  /** Closes the connection; a call on it fails. */
+  async close(): Promise<void> {
+    await this.client.destroy();
+  }
+}
