fix(gateway): a malformed response head is no response

What callers saw: status 200, the signature of the backend server and a body that is not its own, where the server answered with a transfer coding other than `chunked`: the encoded bytes, or those of the chunks' framing as well. A whole response of this kind, ended by the end of its connection, also got a length. A status line whose reason phrase held a control character passed too.

Cause: the undici client decodes the last coding `chunked`, ignores all others, and reports a reason phrase as it came. It refuses the other malformed heads: statuses such as 000 and 2x0, names with a blank or a control character, folded lines, lengths that contradict each other, sizes of chunks.

Change: `findHeadFault` names what is wrong in a head that the client accepts, and `Exchange` cancels the response, which closes the connection.

--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -1,5 +1,11 @@
 import type {IncomingHttpHeaders} from 'node:http';
-import {Deferred, fail, succeed, type Result} from '@vanillamux/shared';
+import {
+  Deferred,
+  fail,
+  findHeadFault,
+  succeed,
+  type Result,
+} from '@vanillamux/shared';
 import type {Dispatcher} from 'undici';
 import type {ResponseHead} from './response_head.js';
 import type {Connection} from './connection.js';
@@ -100,8 +106,11 @@
     controller: Dispatcher.DispatchController,
     status: number,
     headers: IncomingHttpHeaders,
+    reasonPhrase?: string,
   ): void {
     if (status < 200) return;
+    const fault = findHeadFault(headers, reasonPhrase);
+    if (fault) return this.cancel(fault);
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
     this.responseHead.resolve(succeed({status, headers, rawHeaders}));
   }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -11,6 +11,7 @@
 export {EventKind} from './event_kind.js';
 export {fail} from './fail.js';
 export {findFieldLine} from './find_field_line.js';
+export {findHeadFault} from './find_head_fault.js';
 export {formatAddress} from './format_address.js';
 export {flushOutput} from './flush_output.js';
 export {getLogger} from './get_logger.js';
