fix(entry): a malformed response head is no response

What callers saw: a response of a plain service with status 200 and a body that is not the service's, where it was sent with a transfer coding other than `chunked` or a control character in its reason phrase. An engine's response of this kind started an attempt or confirmed a cancellation.

Change: `ResponseCheck` fails a response whose head has a fault, for the engine client as well as the service client.

--- a/packages/entry/src/engine_client.ts
+++ b/packages/entry/src/engine_client.ts
@@ -15,6 +15,7 @@
 } from '@vanillamux/shared';
 import {Agent, request, type Dispatcher} from 'undici';
 import {createLimitedConnector} from './create_limited_connector.js';
+import {ResponseCheck} from './response_check.js';
 import {splitLines} from './split_lines.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -51,6 +52,10 @@
     // The peer of an idle pooled connection may have stopped responding.
     keepAliveTimeout: 4_000,
   });
+  private readonly dispatcher = this.agent.compose(
+    dispatch => (options, handler) =>
+      dispatch(options, new ResponseCheck(handler)),
+  );
 
   /** Starts an attempt and returns its frames. */
   generate(
@@ -122,7 +127,7 @@
           method: 'POST',
           body: JSON.stringify(body),
           headers: {'content-type': 'application/json'},
-          dispatcher: this.agent,
+          dispatcher: this.dispatcher,
           signal,
         },
       );
--- a/packages/entry/src/response_check.ts
+++ b/packages/entry/src/response_check.ts
@@ -1,14 +1,16 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {findHeadFault} from '@vanillamux/shared';
 import {errors, type Dispatcher} from 'undici';
 
 /**
- * Passes a response on to `handler`, and fails one whose connection was reset:
- * the undici client takes a reset for the end of a response without a length.
+ * Passes a response on to `handler`. Fails one whose head is malformed, and one
+ * whose connection was reset: the undici client takes a reset for the end of a
+ * response without a length.
  */
 export class ResponseCheck implements Dispatcher.DispatchHandler {
   constructor(
     private readonly handler: Dispatcher.DispatchHandler,
-    private readonly wasReset: () => boolean,
+    private readonly wasReset: () => boolean = () => false,
   ) {}
 
   onRequestStart(
@@ -24,6 +26,8 @@
     headers: IncomingHttpHeaders,
     statusText?: string,
   ): void {
+    const fault = findHeadFault(headers, statusText);
+    if (fault) return controller.abort(new Error(fault));
     this.handler.onResponseStart?.(controller, status, headers, statusText);
   }
 
