fix(engine): a request that breaks off does not stop the server

What callers saw: a stand-in engine or service ended with an uncaught `aborted` error when a client disconnected before the whole body of its request had arrived; every other request on it was lost with it.

Cause: `readJson` iterated over the body, which throws when the request breaks off, and nothing handled the rejection of `handleRequest`.

Change: `readJson` reads by way of `readBody`, which tells a part from a whole body and returns an error; the handlers execute nothing then.

--- a/packages/engine/src/engine_server.ts
+++ b/packages/engine/src/engine_server.ts
@@ -1,7 +1,7 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import type {ServerResponse} from 'node:http';
 import {generateRequestSchema} from '@vanillamux/protocol';
-import {ErrorCodes, VmuxError} from '@vanillamux/shared';
+import {ErrorCodes, succeed, VmuxError} from '@vanillamux/shared';
 import {z} from 'zod';
 import type {FaultInjector} from './fault_injector.js';
 import {FaultKind} from './fault_kind.js';
@@ -42,7 +42,9 @@
   {engine, faults, orderExecutor}: EngineServerOptions,
 ): Promise<void> {
   const route = `${req.method} ${req.url}`;
-  const body = req.method === 'POST' ? await readJson(req) : undefined;
+  const json = req.method === 'POST' ? await readJson(req) : succeed(undefined);
+  if (!json.ok) return sendError(res, json.error);
+  const body = json.value;
   await faults.waitUntilInactive(FaultKind.DelayResponses);
   switch (route) {
     case 'POST /v1/generate': {
--- a/packages/engine/src/read_json.ts
+++ b/packages/engine/src/read_json.ts
@@ -1,12 +1,19 @@
 import type {IncomingMessage} from 'node:http';
+import {readBody, succeed, type Result} from '@vanillamux/shared';
 
-/** Reads a JSON body; returns `undefined` if it is not valid JSON. */
-export async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of req) chunks.push(chunk as Buffer);
+/** Four times the largest request body that an entry host accepts by default. */
+const MAX_BODY_BYTES = 64 * 1_024 * 1_024;
+
+/**
+ * Reads a JSON body; its value is `undefined` if it is not valid JSON. Fails as
+ * `readBody` does.
+ */
+export async function readJson(req: IncomingMessage): Promise<Result<unknown>> {
+  const body = await readBody(req, MAX_BODY_BYTES);
+  if (!body.ok) return body;
   try {
-    return JSON.parse(Buffer.concat(chunks).toString('utf8')) as unknown;
+    return succeed(JSON.parse(body.value.toString('utf8')) as unknown);
   } catch {
-    return undefined;
+    return succeed(undefined);
   }
 }
--- a/packages/engine/src/service_server.ts
+++ b/packages/engine/src/service_server.ts
@@ -1,5 +1,6 @@
 import {createServer, type IncomingMessage, type Server} from 'node:http';
 import type {ServerResponse} from 'node:http';
+import {succeed} from '@vanillamux/shared';
 import {z} from 'zod';
 import {FaultKind} from './fault_kind.js';
 import type {FaultInjector} from './fault_injector.js';
@@ -36,7 +37,10 @@
   faults: FaultInjector,
   executions: Execution[],
 ): Promise<void> {
-  const body = req.method === 'GET' ? undefined : await readJson(req);
+  const json = req.method === 'GET' ? succeed(undefined) : await readJson(req);
+  if (!json.ok)
+    return sendJson(res, json.error.status, {error: json.error.toBody()});
+  const body = json.value;
   if (req.url === '/executions') return sendJson(res, 200, executions);
   if (req.url === '/faults') {
     const fault = faultSchema.safeParse(body);
