fix(shared): keep the handlers of signals for the life of a process

What callers saw: a request was read, passed on, and its connection closed without a response, within milliseconds of a second SIGTERM (or SIGINT) to an entry host that was draining after the first. A control host that got one ended without leaving its group.

Cause: waitForSignal registered each signal with `once`, so the default action was back after the first: the next one ended the process. SIGHUP had a handler only after the settings were read, and SIGTERM too.

Change: ProcessSignals registers its handlers before anything is awaited and never removes them. The first SIGTERM or SIGINT requests the stop; one that comes before the settings are known ends the process before it starts anything, one during the start stops it right after. Later signals are logged with the phase of the process and change nothing; a reload that is under way when the stop begins isn't applied. waitForSignal is left to the quickstart, which a person ends with a second Ctrl-C.

--- /dev/null
+++ b/packages/shared/src/process_phase.ts
@@ -0,0 +1,6 @@
+/** What a long-running process does when a signal arrives. */
+export enum ProcessPhase {
+  Starting = 'starting',
+  Running = 'running',
+  Stopping = 'stopping',
+}
--- a/packages/shared/src/run_binary.ts
+++ b/packages/shared/src/run_binary.ts
@@ -1,16 +1,15 @@
 import {cac} from 'cac';
 import type {z} from 'zod';
 import {configureLogging} from './configure_logging.js';
-import {Deferred} from './deferred.js';
 import {flushOutput} from './flush_output.js';
 import {getLogger} from './get_logger.js';
 import {loadSettings} from './load_settings.js';
 import type {LogFormat} from './log_format.js';
 import type {LogLevel} from './log_level.js';
+import {ProcessSignals} from './process_signals.js';
 import type {Result} from './result.js';
 import {SettingsWatcher} from './settings_watcher.js';
 import {VERSION} from './version.js';
-import {waitForSignal} from './wait_for_signal.js';
 
 const EXIT_INVALID_SETTINGS = 2;
 const EXIT_START_FAILED = 3;
@@ -51,8 +50,9 @@
 
 /**
  * Runs a long-running binary: loads its settings, starts it, and stops it on
- * SIGTERM or SIGINT. SIGHUP reloads the settings. Exit codes: 0 stopped,
- * 2 invalid settings, 3 failed to start.
+ * SIGTERM or SIGINT. SIGHUP reloads the settings. Signals after the first of
+ * SIGTERM and SIGINT change nothing; only SIGKILL cuts a stop short. Exit codes:
+ * 0 stopped, 2 invalid settings, 3 failed to start.
  */
 export function runBinary<S extends CommonSettings>(
   options: BinaryOptions<S>,
@@ -75,6 +75,7 @@
   options: BinaryOptions<S>,
   flags: CliFlags,
 ): Promise<void> {
+  const signals = new ProcessSignals();
   const loaded = await loadSettings(flags.config, options.schema);
   if (!loaded.ok) {
     process.stderr.write(`${loaded.error.message}\n`);
@@ -86,31 +87,37 @@
     format: flags.logFormat ?? settings.logFormat,
     host: settings.id,
   });
-  const signal = waitForSignal();
-  // Registered before the start, as SIGHUP without a listener ends the process.
-  const reloadHandler = new Deferred<() => void>();
-  process.on(
-    'SIGHUP',
-    () => void reloadHandler.promise.then(reloadSettings => reloadSettings()),
-  );
+  if (signals.isStopRequested) return exit(signals);
   const started = await options.start(settings);
   if (!started.ok) {
     getLogger('start').error(started.error.message);
     process.exit(EXIT_START_FAILED);
   }
+  const watcherAbort = new AbortController();
   const watcher = new SettingsWatcher({
     file: flags.config,
     schema: options.schema,
-    onChange: newSettings => started.value.reconfigure?.(newSettings),
+    onChange: newSettings => {
+      if (!signals.isStopRequested) started.value.reconfigure?.(newSettings);
+    },
   });
-  reloadHandler.resolve(() => void watcher.reload());
-  const watcherAbort = new AbortController();
   void watcher.run(watcherAbort.signal);
   getLogger('start').info('Started.', {version: VERSION});
-  const signalName = await signal;
-  getLogger('start').info('Stopping.', {signal: signalName});
-  watcherAbort.abort();
-  await started.value.stop();
+  signals.markStarted(() => void watcher.reload());
+  await exit(signals, async () => {
+    watcherAbort.abort();
+    await started.value.stop();
+  });
+}
+
+/** Exits once a stop is requested and `stop` is done. */
+async function exit(
+  signals: ProcessSignals,
+  stop?: () => Promise<void>,
+): Promise<void> {
+  const signal = await signals.waitForStop();
+  getLogger('start').info('Stopping.', {signal});
+  await stop?.();
   await flushOutput(LOG_FLUSH_TIMEOUT_MS);
   process.exit(0);
 }
