fix(scripts): handle SIGHUP before the bundle is loaded

What callers saw: a host that was told to reload right after its start ended instead, with whatever it would have served.

Cause: the loader of a bundle reads, compiles and runs it before runBinary registers a handler, and SIGHUP without one ends a process.

Change: the first statement of the loader registers a listener of SIGHUP that does nothing, as the settings are read later. SIGTERM and SIGINT keep their default action there: nothing is listening yet.

What remains is the start of Node.js itself, before any script runs; it also resets a disposition that its parent has set.

--- a/scripts/load_bundle.cjs
+++ b/scripts/load_bundle.cjs
@@ -5,9 +5,12 @@
 const {readFileSync} = require('node:fs');
 const {wrap} = require('node:module');
 const {basename, dirname, join} = require('node:path');
-const {emitWarning} = require('node:process');
+const process = require('node:process');
 const {Script} = require('node:vm');
 
+// A reload that is asked for now is met by the settings, which are read later.
+process.on('SIGHUP', () => undefined);
+
 const filename = join(
   dirname(module.filename),
   'bundles',
@@ -17,14 +20,16 @@
 try {
   cachedData = readFileSync(`${filename}.cache`);
 } catch (err) {
-  emitWarning(`No code cache: ${err.message}`);
+  process.emitWarning(`No code cache: ${err.message}`);
 }
 const script = new Script(wrap(readFileSync(filename, 'utf8')), {
   filename,
   cachedData,
 });
 if (script.cachedDataRejected)
-  emitWarning('The code cache belongs to other flags or another Node.js.');
+  process.emitWarning(
+    'The code cache belongs to other flags or another Node.js.',
+  );
 script
   .runInThisContext()
   .call(exports, exports, require, module, filename, dirname(filename));
