feat(gateway): report requests that get no complete response

A request that was read and whose connection closed without a response left no trace at its host: the log couldn't tell whether the client had left, a stop had cut it, or this host had closed the connection.

ClientServer now reports each such request with the reason (client_left, stopped, closed), its age and whether a part of the response was sent. It becomes a log line with the request id and vmux_gateway_unanswered_requests_total{reason}. "Draining." and "Stopped." also count open connections.

--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -7,6 +7,7 @@
 import {AttemptOutcome} from '../src/request/attempt_outcome.js';
 import {PermitVerdict} from '../src/request_limits/permit_verdict.js';
 import {GatewayMetrics} from '../src/server/gateway_metrics.js';
+import {UnansweredReason} from '../src/server/unanswered_reason.js';
 import {createRoute} from './create_config.js';
 
 const PAGE = fileURLToPath(
@@ -53,6 +54,7 @@
     durationMs: 40,
   });
   metrics.countRefusal(503);
+  metrics.countUnanswered(UnansweredReason.Stopped);
   metrics.countAttempt('notes');
   metrics.countFailedAttempt('notes', AttemptOutcome.NotRun);
   metrics.countRetry('notes', false);
--- a/packages/gateway/src/server/client_server.ts
+++ b/packages/gateway/src/server/client_server.ts
@@ -5,13 +5,21 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
+import {monotonicMs} from '@vanillamux/shared';
+import {UnansweredReason} from './unanswered_reason.js';
+import type {UnansweredRequest} from './unanswered_request.js';
 
 /** State of one connection. */
 interface ConnectionState {
-  /** Responses that were not handed over to the system yet. */
-  readonly pendingResponses: Set<ServerResponse>;
+  /**
+   * Responses that were not handed over to the system yet, and when the headers
+   * of their requests were read.
+   */
+  readonly pendingResponses: Map<ServerResponse, number>;
   /** Bytes that had been read when the last response was handed over. */
   bytesRead: number;
+  /** Why the connection ends, once that is known. */
+  endReason?: UnansweredReason;
 }
 
 /**
@@ -22,7 +30,13 @@
 export class ClientServer extends Server {
   private readonly states = new Map<Socket, ConnectionState>();
 
-  constructor(options: ServerOptions, listener: RequestListener) {
+  constructor(
+    options: ServerOptions,
+    listener: RequestListener,
+    private readonly onUnanswered: (
+      unanswered: UnansweredRequest,
+    ) => void = () => undefined,
+  ) {
     super(options, listener);
     this.on('connection', socket => this.add(socket));
     this.on('request', (req, res) => this.track(req.socket, res));
@@ -48,27 +62,57 @@
   }
 
   /**
-   * Resets the connections with a pending response that `isAffected`. A plain
-   * close would end a response without framing as if it were complete.
+   * Cuts the connections with a pending response that `isAffected`, as the grace
+   * time of a stop is over. A plain close would end a response without framing as
+   * if it were complete.
    */
   resetConnections(isAffected: (res: ServerResponse) => boolean): void {
-    for (const [socket, {pendingResponses}] of this.states) {
-      if ([...pendingResponses].some(isAffected)) socket.resetAndDestroy();
+    for (const [socket, state] of this.states) {
+      if (![...state.pendingResponses.keys()].some(isAffected)) continue;
+      state.endReason ??= UnansweredReason.Stopped;
+      socket.resetAndDestroy();
     }
   }
 
   private track(socket: Socket, res: ServerResponse): void {
     const state = this.states.get(socket);
     if (!state) return;
-    state.pendingResponses.add(res);
+    state.pendingResponses.set(res, monotonicMs());
     res.once('close', () => {
-      state.pendingResponses.delete(res);
+      this.settle(state, res);
       state.bytesRead = socket.bytesRead;
     });
   }
 
   private add(socket: Socket): void {
-    this.states.set(socket, {pendingResponses: new Set(), bytesRead: 0});
-    socket.once('close', () => this.states.delete(socket));
+    const state: ConnectionState = {
+      pendingResponses: new Map(),
+      bytesRead: 0,
+    };
+    this.states.set(socket, state);
+    const recordLeft = (): void => {
+      state.endReason ??= UnansweredReason.ClientLeft;
+    };
+    socket.once('end', recordLeft);
+    socket.once('error', recordLeft);
+    socket.once('close', () => {
+      this.states.delete(socket);
+      // Node emits no 'close' on a response that waits for an earlier one.
+      for (const res of state.pendingResponses.keys()) this.settle(state, res);
+    });
+  }
+
+  /** Forgets a response, and reports one that is not complete. */
+  private settle(state: ConnectionState, res: ServerResponse): void {
+    const startedMs = state.pendingResponses.get(res);
+    if (startedMs === undefined) return;
+    state.pendingResponses.delete(res);
+    if (res.writableFinished) return;
+    this.onUnanswered({
+      req: res.req,
+      reason: state.endReason ?? UnansweredReason.Closed,
+      ageMs: monotonicMs() - startedMs,
+      hasBegun: res.headersSent,
+    });
   }
 }
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -55,6 +55,7 @@
 import {GatewayMetrics} from './gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {Readiness} from './readiness.js';
+import {UnansweredReporter} from './unanswered_reporter.js';
 
 const MS_PER_SECOND = 1_000;
 /** Time before the kill by which the process has to have exited. */
@@ -139,6 +140,7 @@
   private readonly relayServer: ClientServer;
   private readonly probeServers: Server[] = [];
   private readonly metrics = new GatewayMetrics();
+  private readonly unanswered: UnansweredReporter;
   private readonly hostIds = (): string[] =>
     this.roster.current(monotonicMs()).map(({id}) => id);
 
@@ -247,6 +249,11 @@
         this.peerReach,
       ],
     });
+    this.unanswered = new UnansweredReporter({
+      dialect,
+      metrics: this.metrics,
+      isDraining: () => this.readiness.draining,
+    });
     this.handler = new RequestHandler(this.createParts());
     this.clientServer = this.createServer((req, res) =>
       this.handler.handle(req, res),
@@ -281,12 +288,12 @@
     const graceMs = graceS * MS_PER_SECOND;
     const killMs = monotonicMs() + graceMs;
     this.readiness.startDraining();
-    log.info('Draining.', {inFlight: this.handler.inFlight});
+    log.info('Draining.', this.openCounts());
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.stopGate.close(killMs - EXIT_MARGIN_MS);
     for (const server of this.servers) server.close();
     await this.drainUntil(killMs - EXIT_MARGIN_MS);
-    log.info('Stopped.', {inFlight: this.handler.inFlight});
+    log.info('Stopped.', this.openCounts());
     await this.cutRequests();
     const flushMs = killMs - FLUSH_MARGIN_MS - monotonicMs();
     await this.recorder.close(Math.min(RECORD_FLUSH_TIMEOUT_MS, flushMs));
@@ -380,6 +387,14 @@
     );
   }
 
+  private openCounts(): {inFlight: number; connections: number} {
+    const counts = this.servers.map(({connectionCount}) => connectionCount);
+    return {
+      inFlight: this.handler.inFlight,
+      connections: counts.reduce((sum, count) => sum + count, 0),
+    };
+  }
+
   /**
    * Ends the requests still in flight: resets responses that have begun, and
    * sends an error response to the others.
@@ -496,6 +511,7 @@
         noDelay: true,
       },
       (req, res) => void handle(req, res),
+      unanswered => this.unanswered.report(unanswered),
     );
   }
 
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -9,6 +9,7 @@
 import type {EndVerdict} from '../request/end_verdict.js';
 import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
+import type {UnansweredReason} from './unanswered_reason.js';
 
 const MS_PER_SECOND = 1_000;
 const DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 3, 5, 10, 15];
@@ -41,6 +42,12 @@
     labelNames: ['status'],
     registers: [this.registry],
   });
+  private readonly unanswered = new Counter({
+    name: 'vmux_gateway_unanswered_requests_total',
+    help: 'Requests that were read and got no complete response, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
   private readonly attempts = new Counter({
     name: 'vmux_gateway_attempts_total',
     help: 'Requests sent to backend servers, by service.',
@@ -250,6 +257,11 @@
     this.refusals.inc({status});
   }
 
+  /** Counts a request that was read and got no complete response. */
+  countUnanswered(reason: UnansweredReason): void {
+    this.unanswered.inc({reason});
+  }
+
   /** Counts a request that was sent to a backend server. */
   countAttempt(service: string): void {
     this.attempts.inc({service});
