--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -6,6 +6,7 @@
 import {RefusalReason} from '../src/admission/refusal_reason.js';
 import {AttemptOutcome} from '../src/request/attempt_outcome.js';
 import {PermitVerdict} from '../src/request_limits/permit_verdict.js';
+import {EndVerdict} from '../src/request/end_verdict.js';
 import {GatewayMetrics} from '../src/server/gateway_metrics.js';
 import {UnansweredReason} from '../src/server/unanswered_reason.js';
 import {createRoute} from './create_config.js';
@@ -55,6 +56,7 @@
   });
   metrics.countRefusal(503);
   metrics.countUnanswered(UnansweredReason.Stopped);
+  metrics.countVerifiedEnd('notes', EndVerdict.Whole);
   metrics.countAttempt('notes');
   metrics.countFailedAttempt('notes', AttemptOutcome.NotRun);
   metrics.countRetry('notes', false);
