feat(control): log calls to the leader that fail or take long

A call now logs how many tries found no leader, were carried out on this host or were sent to the leader, how long it took, and the last error.

--- a/packages/control/src/evacuator.ts
+++ b/packages/control/src/evacuator.ts
@@ -10,6 +10,7 @@
 import {EvacuationVerdict} from './evacuation_verdict.js';
 import {GroupCommandLevel} from './group_command_level.js';
 import type {LeaderCaller} from './leader_caller.js';
+import {LeaderOperation} from './leader_operation.js';
 import {planEvacuation} from './plan_evacuation.js';
 import {proposeCommand} from './propose_command.js';
 import type {RevisedOrder} from './revised_order.js';
@@ -41,6 +42,7 @@
     for (let tries = 1; ; tries++) {
       const revised = {...order, expectedRevision};
       const result = await this.leader.run(
+        LeaderOperation.Evacuate,
         () => this.orderAsLeader(revised),
         (api, signal) => api.evacuation.order.mutate(revised, {signal}),
       );
--- a/packages/control/src/leader_caller.ts
+++ b/packages/control/src/leader_caller.ts
@@ -2,6 +2,7 @@
 import {
   ErrorCodes,
   fail,
+  getLogger,
   monotonicMs,
   sleep,
   VmuxError,
@@ -9,12 +10,18 @@
 } from '@vanillamux/shared';
 import type {ControlCall} from './control_client.js';
 import type {ControlHost} from './control_host.js';
+import {LeaderCallStage} from './leader_call_stage.js';
+import type {LeaderOperation} from './leader_operation.js';
 import {PeerClients} from './peer_clients.js';
 
 /** Shorter than the 1 s after which an operator's call tries another host. */
 const TOTAL_TIMEOUT_MS = 900;
 const ATTEMPT_TIMEOUT_MS = 450;
 const RETRY_DELAY_MS = 40;
+/** Time above which a call that succeeded is logged; half of an attempt. */
+const SLOW_MS = ATTEMPT_TIMEOUT_MS / 2;
+
+const log = getLogger('leader');
 
 /**
  * Runs an operation on the leader of the group: on this host, or by a call. The
@@ -29,28 +36,33 @@
 
   /** Runs the operation until it succeeds, fails for good or the time is over. */
   async run<T>(
+    operation: LeaderOperation,
     runLocally: () => Promise<Result<T>>,
     call: ControlCall<T>,
   ): Promise<Result<T>> {
-    const deadlineMs = monotonicMs() + TOTAL_TIMEOUT_MS;
-    let lastResult: Result<T> = fail(new VmuxError(ErrorCodes.NoQuorum));
+    const startedMs = monotonicMs();
+    const deadlineMs = startedMs + TOTAL_TIMEOUT_MS;
+    const stages: LeaderCallStage[] = [];
+    let result: Result<T> = fail(new VmuxError(ErrorCodes.NoQuorum));
     while (monotonicMs() < deadlineMs) {
       const {role, leaderId, members} = this.host.node.status();
       const leader = members.find(({id}) => id === leaderId);
       if (role === RaftRole.Leader) {
-        lastResult = await withTimeout(
-          runLocally(),
-          deadlineMs - monotonicMs(),
-        );
+        stages.push(LeaderCallStage.Local);
+        result = await withTimeout(runLocally(), deadlineMs - monotonicMs());
       } else if (leader) {
-        lastResult = await this.peerClients
+        stages.push(LeaderCallStage.Remote);
+        result = await this.peerClients
           .get(leader.address)
           .call(call, ATTEMPT_TIMEOUT_MS);
+      } else {
+        stages.push(LeaderCallStage.NoLeader);
       }
-      if (lastResult.ok || !isRetryable(lastResult.error)) return lastResult;
+      if (result.ok || !isRetryable(result.error)) break;
       await sleep(RETRY_DELAY_MS);
     }
-    return lastResult;
+    report(operation, stages, monotonicMs() - startedMs, result);
+    return result;
   }
 
   /** Closes the connections to other control hosts. */
@@ -59,6 +71,33 @@
   }
 }
 
+/** Logs a call that failed or took long. */
+function report(
+  operation: LeaderOperation,
+  stages: readonly LeaderCallStage[],
+  tookMs: number,
+  result: Result<unknown>,
+): void {
+  if (result.ok && tookMs < SLOW_MS) return;
+  const fields = {
+    operation,
+    stages: summarize(stages),
+    tookMs: Math.round(tookMs),
+  };
+  if (result.ok) log.info('A call to the leader took long.', fields);
+  else {
+    const {code, message: reason} = result.error;
+    log.warn('A call to the leader failed.', {...fields, code, reason});
+  }
+}
+
+/** Names the stages in order with the number of tries that ended in each. */
+function summarize(stages: readonly LeaderCallStage[]): string {
+  const counts = new Map<LeaderCallStage, number>();
+  for (const stage of stages) counts.set(stage, (counts.get(stage) ?? 0) + 1);
+  return [...counts].map(([stage, count]) => `${stage} ${count}`).join();
+}
+
 async function withTimeout<T>(
   operation: Promise<Result<T>>,
   timeoutMs: number,
--- a/packages/control/src/publisher.ts
+++ b/packages/control/src/publisher.ts
@@ -4,6 +4,7 @@
 import type {PublishCommand} from './commands.js';
 import type {ControlHost} from './control_host.js';
 import type {LeaderCaller} from './leader_caller.js';
+import {LeaderOperation} from './leader_operation.js';
 import {proposeCommand} from './propose_command.js';
 import type {PublishAnswer} from './publish_answer.js';
 
@@ -26,6 +27,7 @@
    */
   publish(document: PublishedDocument): Promise<Result<PublishAnswer>> {
     return this.leader.run(
+      LeaderOperation.Publish,
       () => this.publishAsLeader(document),
       (api, signal) => api.publication.publish.mutate(document, {signal}),
     );
@@ -34,6 +36,7 @@
   /** Reads the newest document. Fails unless a quorum confirms the leader. */
   read(): Promise<Result<PublishedDocument | undefined>> {
     return this.leader.run(
+      LeaderOperation.Read,
       () => this.readAsLeader(),
       (api, signal) => api.publication.read.query(undefined, {signal}),
     );
