feat(rpc): messages whose content is compressed once for all receivers

Each message of at least 1 KiB is compressed for its receiver, through one queue of ten at a time for the whole process, in which entries of the consensus log and configurations that operators read wait as well. `packJson` compresses content once; messages with such content are sent as they are. A receiver needs no other WebSocket extension.

--- a/packages/rpc/src/serve_rpc.ts
+++ b/packages/rpc/src/serve_rpc.ts
@@ -2,10 +2,12 @@
 import type {AnyRouter} from '@trpc/server';
 import {applyWSSHandler} from '@trpc/server/adapters/ws';
 import {WebSocketServer} from 'ws';
+import {MAX_MESSAGE_BYTES} from './max_message_bytes.js';
+import {messageEncoder} from './message_encoder.js';
+import {RpcSocket} from './rpc_socket.js';
 
 const PING_INTERVAL_MS = 2_000;
 const PONG_TIMEOUT_MS = 1_000;
-const MAX_MESSAGE_BYTES = 32 * 1_024 * 1_024;
 /**
  * Messages of at least this size are compressed: configurations and batches of
  * record entries shrink several times, and traffic between failure domains is
@@ -22,6 +24,7 @@
  */
 export function serveRpc(server: Server, router: AnyRouter): () => void {
   const wss = new WebSocketServer({
+    WebSocket: RpcSocket,
     server,
     path: RPC_PATH,
     maxPayload: MAX_MESSAGE_BYTES,
@@ -38,6 +41,7 @@
   applyWSSHandler({
     wss,
     router,
+    experimental_encoder: messageEncoder,
     keepAlive: {
       enabled: true,
       pingMs: PING_INTERVAL_MS,
