fix(control): entry hosts are answered in batches and in turns

Cause: each changed report of a backend server resolved the polls of all entry hosts in one turn of the event loop, and each walked the table and encoded and compressed an answer of its own; entry hosts that come back together also got the list of all of them in each answer, and the configuration from each control host that named it. Consensus messages and calls of operators waited behind all that, in the event loop and in the queue for compression. The class of fault: work for hosts x reports without a bound on its share of the process.

Evidence, on the code before: 30 reports in a row led 40 entry hosts to 1,200 answers (now 80), all of a change in one turn of the event loop.

Change: the first change makes a batch at once; those that follow within 50 ms, or three times as long as the answers took, make the next one. A server that leaves or becomes silent waits for none. A batch is encoded and compressed once for all entry hosts with the same state, and a configuration once. Answers are given eight in a turn of the event loop, so other messages pass between them. Entry hosts fetch a configuration from one control host at a time, and return after a random delay. Entry hosts and control hosts of builds before are answered, and read, in their form.

50 ms is 4 % of the interval of heartbeats, and so of the age that a report has anyway; three times the time of the answers leaves three quarters of a busy host to others, at any number of entry hosts.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -1,6 +1,8 @@
 import assert from 'node:assert/strict';
-import {describe, it} from 'node:test';
+import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {setImmediate} from 'node:timers/promises';
+import {PresenceState, type Presence} from '@vanillamux/protocol';
+import {unpackJson} from '@vanillamux/rpc';
 import {ChecksummedFile, MemoryDisk} from '@vanillamux/storage';
 import {
   BackendCensus,
@@ -11,6 +13,7 @@
   EvacuationAction,
   planEvacuation,
   type Command,
+  type FeedContent,
   type FeedRequest,
   type FeedUpdate,
 } from '../src/index.js';
@@ -120,3 +123,166 @@
     });
   }
 });
+
+const HOSTS = 40;
+const REPORTS = 30;
+/** No batch is collected for longer. */
+const MAX_COLLECT_MS = 1_000;
+
+function report(sequence: number, fields: Partial<Presence> = {}): Presence {
+  return {
+    id: `s${sequence}`,
+    incarnation: 1,
+    sequence,
+    state: PresenceState.Ready,
+    service: 'notes',
+    address: {host: `10.0.0.${sequence}`, port: 80},
+    failureDomain: 'fd',
+    capacity: 4,
+    ...fields,
+  };
+}
+
+/** Entry hosts that poll again as soon as they are answered. */
+class PollingHosts {
+  readonly updates: FeedUpdate[] = [];
+  readonly registry = new BackendRegistry({heartbeatMs: 1_000});
+  readonly feed: EntryHostFeed;
+
+  constructor(private readonly fields: Partial<FeedRequest> = {}) {
+    const status = {isCurrent: true, leaderSilentMs: 0, members: []};
+    const host = {
+      stateMachine: new ControlState(),
+      node: {status: () => status},
+    };
+    this.feed = new EntryHostFeed(
+      host as unknown as ControlHost,
+      this.registry,
+    );
+  }
+
+  /** Starts the hosts, and waits until each has all that there is. */
+  async start(): Promise<void> {
+    for (let at = 0; at < HOSTS; at++) void this.run(at);
+    await this.settle();
+    mock.timers.tick(MAX_COLLECT_MS);
+    await this.settle();
+    mock.timers.tick(MAX_COLLECT_MS);
+    await this.settle();
+    this.updates.length = 0;
+  }
+
+  /** Lets all run that needs no timer. */
+  async settle(): Promise<void> {
+    for (let turn = 0; turn < HOSTS; turn++) await setImmediate();
+  }
+
+  private async run(at: number): Promise<void> {
+    const address = {host: '127.0.0.1', port: at + 1};
+    let known = {registryId: '', position: 0, peersVersion: -1};
+    for (;;) {
+      const update = await this.feed.waitForUpdate({
+        ...known,
+        ...this.fields,
+        entry: {id: `e${at}`, failureDomain: 'fd', address},
+        version: -1,
+        waitMs: WAIT_MS,
+      });
+      this.updates.push(update);
+      const {registryId, position, peersVersion} = update;
+      known = {registryId, position, peersVersion};
+    }
+  }
+}
+
+describe('the feed of many entry hosts', () => {
+  beforeEach(() => mock.timers.enable({apis: ['setTimeout']}));
+  afterEach(() => mock.timers.reset());
+
+  it('answers no poll for each of many reports', async () => {
+    const hosts = new PollingHosts();
+    await hosts.start();
+    for (let sequence = 1; sequence <= REPORTS; sequence++) {
+      hosts.registry.receive(report(sequence));
+      await hosts.settle();
+    }
+    mock.timers.tick(MAX_COLLECT_MS);
+    await hosts.settle();
+    assert.equal(hosts.updates.length, 2 * HOSTS);
+    assert.equal(hosts.updates.at(-1)?.reports.length, REPORTS - 1);
+  });
+
+  it('encodes reports once for all entry hosts with the same state', async () => {
+    const hosts = new PollingHosts({readsPacked: true});
+    await hosts.start();
+    const {encodings} = hosts.feed.counts;
+    for (let sequence = 1; sequence <= REPORTS; sequence++)
+      hosts.registry.receive(report(sequence));
+    await hosts.settle();
+    assert.equal(hosts.updates.length, HOSTS);
+    assert.equal(hosts.feed.counts.encodings, encodings + 1);
+    for (const {packed} of hosts.updates) {
+      const content = unpackJson<FeedContent>(packed!);
+      assert.equal(content.ok && content.value.reports.length, REPORTS);
+    }
+  });
+
+  it('lets other messages go first while it answers all entry hosts', async () => {
+    const hosts = new PollingHosts();
+    await hosts.start();
+    hosts.registry.receive(report(1));
+    let turns = 0;
+    while (hosts.updates.length < HOSTS) {
+      await setImmediate();
+      turns++;
+    }
+    assert.ok(turns > HOSTS / 10, `${turns} turns`);
+  });
+
+  it('returns polls of hosts that come at once in several turns', async () => {
+    const hosts = new PollingHosts();
+    hosts.registry.receive(report(1));
+    const started = hosts.start();
+    await setImmediate();
+    await setImmediate();
+    assert.ok(hosts.updates.length < HOSTS / 2);
+    await started;
+  });
+
+  for (const state of [
+    PresenceState.Draining,
+    PresenceState.Gone,
+    PresenceState.Silent,
+  ]) {
+    it(`tells at once that a backend server is ${state}`, async () => {
+      const hosts = new PollingHosts();
+      await hosts.start();
+      hosts.registry.receive(report(1));
+      await hosts.settle();
+      hosts.registry.receive(report(2));
+      await hosts.settle();
+      assert.equal(hosts.updates.length, HOSTS);
+      hosts.registry.receive(report(3, {id: 's1', state}));
+      await hosts.settle();
+      assert.equal(hosts.updates.length, 2 * HOSTS);
+      const {reports} = hosts.updates.at(-1)!;
+      assert.deepEqual(
+        reports.map(({id, state}) => ({id, state})),
+        [
+          {id: 's1', state},
+          {id: 's2', state: PresenceState.Ready},
+        ],
+      );
+    });
+  }
+
+  it('answers entry hosts of an earlier build in their form', async () => {
+    const hosts = new PollingHosts();
+    const waiting = hosts.start();
+    await hosts.settle();
+    const [update] = hosts.updates;
+    assert.equal(update?.peers?.length, HOSTS);
+    assert.ok(!('packed' in update));
+    await waiting;
+  });
+});
--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -2,11 +2,12 @@
 import {endIncarnation, PresenceTable} from '@vanillamux/membership';
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {
-  Deferred,
+  EventBus,
   formatAddress,
   getLogger,
   monotonicMs,
 } from '@vanillamux/shared';
+import type {RegistryChange} from './registry_change.js';
 
 /** Missed heartbeats above which a backend server is marked as silent. */
 const SILENT_AFTER_HEARTBEATS = 4;
@@ -53,19 +54,32 @@
  * a position, so that entry hosts are sent only the changes that they lack.
  */
 export class BackendRegistry {
-  private readonly registryId = randomUUID();
+  /** Identifies this registry, whose positions no other one has. */
+  readonly id = randomUUID();
+  /** Emits each change. */
+  readonly changes = new EventBus<RegistryChange>();
   private readonly presenceTable: PresenceTable;
   private readonly positionById = new Map<string, number>();
   private readonly lastReceivedMsById = new Map<string, number>();
   private readonly now: () => number;
-  private position = 0;
-  private changeDeferred = new Deferred<void>();
+  private lastPosition = 0;
+  private receivedHeartbeats = 0;
 
   constructor(private readonly options: BackendRegistryOptions) {
     this.now = options.now ?? monotonicMs;
     this.presenceTable = new PresenceTable(this.now);
   }
 
+  /** Position of the latest change. */
+  get position(): number {
+    return this.lastPosition;
+  }
+
+  /** Heartbeats that were received, outdated ones included. */
+  get heartbeats(): number {
+    return this.receivedHeartbeats;
+  }
+
   /** Number of backend servers that are not gone. */
   get size(): number {
     return this.presenceTable
@@ -75,6 +89,7 @@
 
   /** Applies a heartbeat. Returns whether it is newer than the known report. */
   receive(report: Presence): boolean {
+    this.receivedHeartbeats++;
     const previous = this.presenceTable.get(report.id);
     const changes = this.presenceTable.apply(report);
     const current = changes.at(-1);
@@ -148,17 +163,12 @@
    * of them if the position is of another registry.
    */
   changesSince(registryId: string, position: number): RegistryUpdate {
-    const fromPosition = registryId === this.registryId ? position : 0;
+    const fromPosition = registryId === this.id ? position : 0;
     const reports = this.presenceTable
       .list()
       .filter(({id}) => (this.positionById.get(id) ?? 0) > fromPosition)
       .map(report => this.withAge(report));
-    return {registryId: this.registryId, position: this.position, reports};
-  }
-
-  /** Resolves at the next change. */
-  nextChange(): Promise<void> {
-    return this.changeDeferred.promise;
+    return {registryId: this.id, position: this.position, reports};
   }
 
   /** Time for which a backend server stays cold from now on. */
@@ -176,7 +186,7 @@
   private appendChanges(changes: readonly Presence[]): void {
     if (changes.length === 0) return;
     for (const presence of changes) {
-      this.positionById.set(presence.id, ++this.position);
+      this.positionById.set(presence.id, ++this.lastPosition);
       log.info('Backend server state updated.', {
         backend: presence.id,
         state: presence.state,
@@ -187,11 +197,15 @@
         coldForMs: presence.coldForMs,
       });
     }
-    this.changeDeferred.resolve();
-    this.changeDeferred = new Deferred<void>();
+    this.changes.emit({isUrgent: changes.some(isUrgent)});
   }
 }
 
+/** Whether requests to the backend server may fail until hosts know of this. */
+function isUrgent({state}: Presence): boolean {
+  return state !== PresenceState.Ready;
+}
+
 function isUnchanged(previous: Presence, current: Presence): boolean {
   return (
     previous.incarnation === current.incarnation &&
--- /dev/null
+++ b/packages/control/src/change_collector.ts
@@ -0,0 +1,82 @@
+import {setImmediate} from 'node:timers/promises';
+import {Deferred, monotonicMs, sleep} from '@vanillamux/shared';
+import type {TurnQueue} from './turn_queue.js';
+
+/**
+ * Shortest time between two batches. A small part of the interval of heartbeats,
+ * which is the age that a report has anyway.
+ */
+const COLLECT_MS = 50;
+/**
+ * Time between two batches, as a multiple of the time that it took to answer all
+ * entry hosts: at any number of them, this leaves most turns of the event loop
+ * to consensus messages and operators.
+ */
+const REST_FACTOR = 3;
+/** Longest time between two batches; below that of a heartbeat. */
+const MAX_COLLECT_MS = 1_000;
+
+/**
+ * Collects changes into batches. The first change after a rest makes a batch at
+ * once; those that follow shortly after it wait for the next one.
+ */
+export class ChangeCollector {
+  private batch = new Deferred<void>();
+  private hasChanges = false;
+  private isUrgent = false;
+  private isCollecting = false;
+
+  /**
+   * `turns` are those in which entry hosts are answered, and `onBatch` is called
+   * before waiting tasks go on.
+   */
+  constructor(
+    private readonly turns: TurnQueue,
+    private readonly onBatch: () => void,
+  ) {}
+
+  /** Resolves at the next batch. */
+  nextBatch(): Promise<void> {
+    return this.batch.promise;
+  }
+
+  /** Adds a change to the next batch. */
+  add(): void {
+    this.hasChanges = true;
+    if (!this.isCollecting) void this.collect();
+  }
+
+  /** Makes a batch in the next turn, as this change can't wait. */
+  addUrgent(): void {
+    if (this.isUrgent) return;
+    this.isUrgent = true;
+    void this.releaseSoon();
+  }
+
+  private async collect(): Promise<void> {
+    this.isCollecting = true;
+    while (this.hasChanges) {
+      await this.releaseSoon();
+      await this.rest();
+    }
+    this.isCollecting = false;
+  }
+
+  /** Makes a batch of all changes of this turn. */
+  private async releaseSoon(): Promise<void> {
+    await setImmediate();
+    this.hasChanges = false;
+    this.isUrgent = false;
+    this.onBatch();
+    this.batch.resolve();
+    this.batch = new Deferred<void>();
+  }
+
+  private async rest(): Promise<void> {
+    const startedMs = monotonicMs();
+    await setImmediate();
+    await this.turns.idle();
+    const restMs = REST_FACTOR * (monotonicMs() - startedMs);
+    await sleep(Math.min(Math.max(restMs, COLLECT_MS), MAX_COLLECT_MS));
+  }
+}
--- a/packages/control/src/control_router.ts
+++ b/packages/control/src/control_router.ts
@@ -34,7 +34,7 @@
     group: createGroupRouter(host, membershipManager),
     publication: createPublicationRouter(publisher),
     evacuation: createEvacuationRouter(evacuator),
-    feed: createFeedRouter(host, feed),
+    feed: createFeedRouter(feed),
   });
 }
 
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -21,6 +21,7 @@
 import {GroupJoiner} from './group_joiner.js';
 import {GroupLeaver} from './group_leaver.js';
 import {LeaderCaller} from './leader_caller.js';
+import {LoadReporter} from './load_reporter.js';
 import {MembershipManager} from './membership_manager.js';
 import {Publisher} from './publisher.js';
 import {ReservationExpirer} from './reservation_expirer.js';
@@ -63,8 +64,8 @@
     const publisher = new Publisher(host, leaderCaller);
     const evacuator = new Evacuator(host, leaderCaller);
     const backends = new BackendRegistry(settings);
-    const server = createHttpServer(host, backends);
     const feed = new EntryHostFeed(host, backends, census);
+    const server = createHttpServer(host, backends, feed);
     const router = createControlRouter({
       host,
       membershipManager,
@@ -80,7 +81,7 @@
     }
     const httpServers = [server];
     if (settings.metrics) {
-      const metricsServer = createHttpServer(host, backends);
+      const metricsServer = createHttpServer(host, backends, feed);
       const metricsListenResult = await listen(metricsServer, settings.metrics);
       if (!metricsListenResult.ok) {
         server.close();
@@ -106,6 +107,7 @@
     void census.run(signal);
     void expireBackends(backends, settings.heartbeatMs, signal);
     void new ReservationExpirer(host).run(signal);
+    void new LoadReporter(feed, backends).run(signal);
     log.info('Listening.', {
       address: settings.listen.host,
       port: listenResult.value,
@@ -155,8 +157,9 @@
 function createHttpServer(
   host: ControlHost,
   backends: BackendRegistry,
+  feed: EntryHostFeed,
 ): Server {
-  const registry = createMetricsRegistry(host, backends);
+  const registry = createMetricsRegistry(host, backends, feed);
   return createServer((req, res) => {
     if (req.url === '/healthz') {
       res.end('ok\n');
@@ -171,6 +174,7 @@
 function createMetricsRegistry(
   host: ControlHost,
   backends: BackendRegistry,
+  feed: EntryHostFeed,
 ): Registry {
   const registry = new Registry();
   collectDefaultMetrics({
@@ -219,6 +223,36 @@
       'Backend servers that report to this host and have not left.',
       () => backends.size,
     ],
+    [
+      'vmux_control_heartbeats',
+      'Heartbeats of backend servers since the start.',
+      () => backends.heartbeats,
+    ],
+    [
+      'vmux_control_polls_answered',
+      'Polls of entry hosts that were answered since the start.',
+      () => feed.counts.answers,
+    ],
+    [
+      'vmux_control_polls_waiting',
+      'Polls of entry hosts that wait for their turn to be answered.',
+      () => feed.waitingPolls,
+    ],
+    [
+      'vmux_control_batches',
+      'Batches of changes for entry hosts since the start.',
+      () => feed.counts.batches,
+    ],
+    [
+      'vmux_control_encodings',
+      'Times that changes or a document were encoded for entry hosts.',
+      () => feed.counts.encodings,
+    ],
+    [
+      'vmux_control_documents_sent',
+      'Documents that were sent to entry hosts since the start.',
+      () => feed.counts.documents,
+    ],
   ];
   for (const [name, help, readValue] of gauges) {
     addGauge(registry, name, help, readValue);
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -1,45 +1,66 @@
-import type {EntryPeer} from '@vanillamux/protocol';
-import {Deferred, formatAddress, monotonicMs, sleep} from '@vanillamux/shared';
+import type {PublishedDocument} from '@vanillamux/protocol';
+import {packJson} from '@vanillamux/rpc';
+import {monotonicMs, sleep} from '@vanillamux/shared';
 import type {BackendCensus} from './backend_census.js';
 import type {BackendRegistry} from './backend_registry.js';
+import {ChangeCollector} from './change_collector.js';
 import type {ControlHost} from './control_host.js';
-import type {FeedUpdate} from './feed_update.js';
+import {EntryPeers} from './entry_peers.js';
+import type {FeedBatch} from './feed_batch.js';
+import type {FeedContent} from './feed_content.js';
+import type {FeedCounts} from './feed_counts.js';
 import type {FeedRequest} from './feed_request.js';
+import type {FeedUpdate} from './feed_update.js';
+import type {PackedDocument} from './packed_document.js';
+import {TurnQueue} from './turn_queue.js';
 
-/** Time after its last request at which an entry host is unsubscribed. */
-const SUBSCRIBER_TTL_MS = 10_000;
 /** Time without a leader after which a control host is no longer current. */
 const MAX_LEADER_SILENCE_MS = 1_000;
-const MAX_INITIAL_VERSION = 1_000_000_000;
-
-interface Subscriber {
-  readonly peer: EntryPeer;
-  readonly lastRequestMs: number;
-}
+/** Reports state how long a server stays cold, so they must not be old. */
+const MAX_BATCH_AGE_MS = 100;
+/** Reports and peers from which on content is packed. */
+const MIN_PACKED_ITEMS = 2;
 
-/** Serves long polls of entry hosts for changes that they lack. */
+/**
+ * Serves long polls of entry hosts for changes that they lack. Changes are
+ * collected, and encoded once for all entry hosts with the same state.
+ */
 export class EntryHostFeed {
-  private readonly subscribers = new Map<string, Subscriber>();
-  /**
-   * Starts at a random number, so that a version from before a restart of this
-   * host is not taken for a current one.
-   */
-  private peersVersion = Math.floor(Math.random() * MAX_INITIAL_VERSION);
-  private versionDeferred = new Deferred<void>();
+  readonly counts: FeedCounts = {
+    answers: 0,
+    batches: 0,
+    encodings: 0,
+    documents: 0,
+  };
+  private readonly turns = new TurnQueue();
+  private readonly peers = new EntryPeers();
+  private readonly changes: ChangeCollector;
+  private readonly batches = new Map<string, FeedBatch>();
+  private packedDocument?: PackedDocument;
+  /** Position of the registry at the last batch. */
+  private position = 0;
 
   constructor(
     private readonly host: ControlHost,
     private readonly registry: BackendRegistry,
     private readonly census?: BackendCensus,
   ) {
+    this.changes = new ChangeCollector(this.turns, () => this.startBatch());
     const {published, evacuation} = host.stateMachine;
-    const changes = published.versions
+    void published.versions
+      .stream()
+      .merge(evacuation.revisions.stream())
+      .observe(() => this.changes.addUrgent());
+    void registry.changes
       .stream()
-      .merge(evacuation.revisions.stream());
-    void changes.observe(() => {
-      this.versionDeferred.resolve();
-      this.versionDeferred = new Deferred<void>();
-    });
+      .observe(({isUrgent}) =>
+        isUrgent ? this.changes.addUrgent() : this.changes.add(),
+      );
+  }
+
+  /** Polls that have something to be told and wait for their turn. */
+  get waitingPolls(): number {
+    return this.turns.length;
   }
 
   /**
@@ -47,22 +68,56 @@
    * waits for one, up to `waitMs`.
    */
   async waitForUpdate(request: FeedRequest): Promise<FeedUpdate> {
-    this.subscribe(request.entry);
+    if (this.peers.subscribe(request.entry)) this.changes.add();
     if (request.knownBackends) this.census?.learn(request.knownBackends);
     if (!this.hasUpdate(request) && request.waitMs > 0) {
       const timer = new AbortController();
       await Promise.race([
-        this.versionDeferred.promise,
-        this.registry.nextChange(),
+        this.changes.nextBatch(),
         sleep(request.waitMs, timer.signal),
       ]);
       timer.abort();
+      this.peers.renew();
     }
-    const status = this.host.node.status();
+    await this.turns.next();
+    return this.createUpdate(request);
+  }
+
+  /** Returns the published document, packed for entry hosts that read it. */
+  async document(
+    readsPacked: boolean,
+  ): Promise<PublishedDocument | PackedDocument | undefined> {
+    await this.turns.next();
+    this.counts.documents++;
+    const {current} = this.host.stateMachine.published;
+    if (!current || !readsPacked) return current;
+    if (this.packedDocument?.version !== current.version) {
+      this.counts.encodings++;
+      const {version} = current;
+      this.packedDocument = {version, packed: packJson(current)};
+    }
+    return this.packedDocument;
+  }
+
+  private startBatch(): void {
+    this.counts.batches++;
+    this.batches.clear();
+    this.peers.renew();
+    this.position = this.registry.position;
+  }
+
+  private createUpdate(request: FeedRequest): FeedUpdate {
+    this.counts.answers++;
+    const {update, content, packed, peersVersion} = this.batchFor(request);
+    const {stateMachine, node} = this.host;
+    const status = node.status();
+    const isPacked = request.readsPacked === true && packed !== undefined;
     return {
-      ...this.registry.changesSince(request.registryId, request.position),
-      version: this.host.stateMachine.published.version,
-      evacuation: this.host.stateMachine.evacuation.save(),
+      ...update,
+      ...(isPacked ? {reports: [], packed} : content),
+      peersVersion,
+      version: stateMachine.published.version,
+      evacuation: stateMachine.evacuation.save(),
       census: this.census?.current(),
       isCurrent:
         status.isCurrent && status.leaderSilentMs < MAX_LEADER_SILENCE_MS,
@@ -70,7 +125,38 @@
         address,
         failureDomain,
       })),
-      ...this.peersUpdate(request.peersVersion),
+    };
+  }
+
+  /** Returns the changes since the state in the request, encoded at most once. */
+  private batchFor(request: FeedRequest): FeedBatch {
+    const {registryId, position} = request;
+    const fromPosition = registryId === this.registry.id ? position : 0;
+    const hasPeers = request.peersVersion === this.peers.version;
+    const key = `${fromPosition} ${this.peers.version} ${hasPeers}`;
+    const known = this.batches.get(key);
+    if (known && monotonicMs() - known.createdMs < MAX_BATCH_AGE_MS)
+      return known;
+    const batch = this.createBatch(fromPosition, hasPeers);
+    this.batches.set(key, batch);
+    return batch;
+  }
+
+  private createBatch(fromPosition: number, hasPeers: boolean): FeedBatch {
+    this.counts.encodings++;
+    const {peers, registry} = this;
+    const update = registry.changesSince(registry.id, fromPosition);
+    const {reports} = update;
+    const content: FeedContent = hasPeers
+      ? {reports}
+      : {reports, peers: peers.current};
+    const items = reports.length + (content.peers?.length ?? 0);
+    return {
+      update,
+      content,
+      peersVersion: peers.version,
+      packed: items < MIN_PACKED_ITEMS ? undefined : packJson(content),
+      createdMs: monotonicMs(),
     };
   }
 
@@ -80,36 +166,12 @@
     version,
     evacuationRevision = Infinity,
   }: FeedRequest): boolean {
-    const update = this.registry.changesSince(registryId, position);
+    const {published, evacuation} = this.host.stateMachine;
     return (
-      update.registryId !== registryId ||
-      update.reports.length > 0 ||
-      this.host.stateMachine.published.version > version ||
-      this.host.stateMachine.evacuation.view.revision > evacuationRevision
+      registryId !== this.registry.id ||
+      position < this.position ||
+      published.version > version ||
+      evacuation.view.revision > evacuationRevision
     );
   }
-
-  private subscribe(peer: EntryPeer): void {
-    const previous = this.subscribers.get(peer.id)?.peer;
-    const isSame =
-      previous &&
-      formatAddress(previous.address) === formatAddress(peer.address);
-    if (!isSame) this.peersVersion++;
-    this.subscribers.set(peer.id, {peer, lastRequestMs: monotonicMs()});
-  }
-
-  private peersUpdate(
-    knownVersion: number,
-  ): Pick<FeedUpdate, 'peersVersion' | 'peers'> {
-    const cutoffMs = monotonicMs() - SUBSCRIBER_TTL_MS;
-    for (const [id, {lastRequestMs}] of this.subscribers) {
-      if (lastRequestMs >= cutoffMs) continue;
-      this.subscribers.delete(id);
-      this.peersVersion++;
-    }
-    const {peersVersion} = this;
-    if (peersVersion === knownVersion) return {peersVersion};
-    const peers = [...this.subscribers.values()].map(({peer}) => peer);
-    return {peersVersion, peers};
-  }
 }
--- a/packages/control/src/feed_request.ts
+++ b/packages/control/src/feed_request.ts
@@ -21,4 +21,9 @@
    */
   readonly knownBackends?: BackendCounts;
   readonly waitMs: number;
+  /**
+   * Whether the entry host reads `FeedUpdate.packed`; those of earlier builds
+   * leave it out.
+   */
+  readonly readsPacked?: boolean;
 }
--- a/packages/control/src/feed_update.ts
+++ b/packages/control/src/feed_update.ts
@@ -1,10 +1,11 @@
 import type {EntryPeer, EvacuationView} from '@vanillamux/protocol';
+import type {Packed} from '@vanillamux/rpc';
 import type {RegistryUpdate} from './backend_registry.js';
 import type {Census} from './census.js';
 import type {ControlEndpoint} from './control_endpoint.js';
 
 /** Changes that an entry host lacks. */
-export interface FeedUpdate extends RegistryUpdate {
+export interface FeedUpdate extends RegistryUpdate, Partial<Packed> {
   /** Version of the published document on this control host. */
   readonly version: number;
   /**
@@ -21,4 +22,9 @@
   readonly peersVersion: number;
   /** Entry hosts that poll this control host; absent if unchanged. */
   readonly peers?: readonly EntryPeer[];
+  /**
+   * `FeedContent`, in place of `reports` and `peers`, if the entry host reads it
+   * and it is long.
+   */
+  readonly packed?: string;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -39,3 +39,5 @@
 export {Gateway, type GatewayOptions} from './server/gateway.js';
 export {type GatewaySettings} from './server/gateway_settings.js';
 export {gatewaySettingsSchema} from './server/gateway_settings_schema.js';
+export {ControlLinks, type ControlLinksOptions} from './link/control_links.js';
+export {LinkListener} from './link/link_listener.js';
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -2,18 +2,26 @@
   BackendCounts,
   ControlEndpoint,
   ControlRouter,
+  FeedContent,
   FeedUpdate,
+  PackedDocument,
 } from '@vanillamux/control';
-import type {EntryPeer, RecordEntry} from '@vanillamux/protocol';
-import {RpcClient} from '@vanillamux/rpc';
+import type {
+  EntryPeer,
+  PublishedDocument,
+  RecordEntry,
+} from '@vanillamux/protocol';
+import {RpcClient, unpackJson} from '@vanillamux/rpc';
 import {
   formatAddress,
   getLogger,
   monotonicMs,
   sleep,
+  succeed,
   type Address,
   type Result,
 } from '@vanillamux/shared';
+import type {FetchTurns} from './fetch_turns.js';
 import type {LinkListener} from './link_listener.js';
 
 /** How long a control host holds a poll while it has no update. */
@@ -33,6 +41,8 @@
   readonly entry: EntryPeer;
   readonly address: Address;
   readonly listener: LinkListener;
+  /** Shared by all links of this host. */
+  readonly fetchTurns: FetchTurns;
   /** Receives the members of the group, as a current control host has them. */
   readonly onMembers: (members: readonly ControlEndpoint[]) => void;
 }
@@ -99,15 +109,17 @@
             version: listener.version,
             evacuationRevision: listener.evacuationRevision,
             knownBackends: this.takeCounts(),
+            readsPacked: true,
           },
           {signal},
         ),
       waitMs + POLL_TIMEOUT_MARGIN_MS,
     );
     if (this.stopping.signal.aborted) return false;
-    this.setResponding(result.ok, result.ok ? '' : result.error.message);
-    if (!result.ok) return false;
-    await this.applyUpdate(result.value);
+    const content = result.ok ? readContent(result.value) : result;
+    this.setResponding(content.ok, content.ok ? '' : content.error.message);
+    if (!result.ok || !content.ok) return false;
+    await this.applyUpdate({...result.value, ...content.value});
     return true;
   }
 
@@ -129,7 +141,11 @@
     // Before the reports, which may name backend servers there.
     if (update.evacuation) listener.onEvacuation(update.evacuation);
     listener.onReports({from, registryId, reports});
-    if (update.version > listener.version) await this.fetchDocument();
+    if (update.version > listener.version) {
+      await this.options.fetchTurns.run(async () => {
+        if (update.version > listener.version) await this.fetchDocument();
+      });
+    }
     // Without this delay, a document that fails to decode would be fetched in
     // a tight loop.
     if (update.version > listener.version) await this.waitToRetry();
@@ -139,19 +155,22 @@
 
   private async fetchDocument(): Promise<void> {
     const result = await this.client.call(
-      (api, signal) => api.feed.document.query(undefined, {signal}),
+      (api, signal) => api.feed.document.query({readsPacked: true}, {signal}),
       DOCUMENT_TIMEOUT_MS,
     );
-    if (result.ok && result.value) {
-      this.options.listener.onDocument(result.value);
-    } else if (!result.ok) {
-      const {message: reason} = result.error;
+    const document = result.ok ? readDocument(result.value) : result;
+    if (document.ok && document.value) {
+      this.options.listener.onDocument(document.value);
+    } else if (!document.ok) {
+      const {message: reason} = document.error;
       log.warn('Could not fetch the configuration; retrying.', {reason});
     }
   }
 
+  /** Waits for a random time, as all entry hosts may have lost a host at once. */
   private waitToRetry(): Promise<void> {
-    return sleep(RETRY_DELAY_MS, this.stopping.signal);
+    const delayMs = RETRY_DELAY_MS * (0.5 + Math.random());
+    return sleep(delayMs, this.stopping.signal);
   }
 
   private setResponding(isResponding: boolean, reason: string): void {
@@ -166,3 +185,20 @@
       });
   }
 }
+
+/** Reads the part of an update that a control host may have packed. */
+function readContent({
+  packed,
+  reports,
+  peers,
+}: FeedUpdate): Result<FeedContent> {
+  if (packed !== undefined) return unpackJson(packed);
+  return succeed({reports, peers});
+}
+
+function readDocument(
+  document: PublishedDocument | PackedDocument | undefined,
+): Result<PublishedDocument | undefined> {
+  if (document && 'packed' in document) return unpackJson(document.packed);
+  return succeed(document);
+}
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -10,6 +10,7 @@
 import {RecordSink, type ControlEndpoint} from '@vanillamux/control';
 import type {EntryPeer, RecordEntry} from '@vanillamux/protocol';
 import {ControlLink, type ControlLinkOptions} from './control_link.js';
+import {FetchTurns} from './fetch_turns.js';
 import type {LinkListener} from './link_listener.js';
 
 const log = getLogger('control');
@@ -26,6 +27,7 @@
 export class ControlLinks extends RecordSink {
   private readonly failureDomains = new Map<string, string>();
   private readonly links = new Map<string, ControlLink>();
+  private readonly fetchTurns = new FetchTurns();
   private readonly stopping = new AbortController();
   private seeds: readonly Address[];
 
@@ -98,6 +100,7 @@
       entry: this.options.entry,
       address,
       listener: this.options.listener,
+      fetchTurns: this.fetchTurns,
       onMembers: members => this.updateMembers(members),
     };
     const link = new ControlLink(options);
