--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -17,6 +17,7 @@
   type VmuxErrorBody,
 } from '@vanillamux/shared';
 import {WebSocket} from 'ws';
+import {ConnectionWatch} from './connection_watch.js';
 import {RPC_PATH} from './serve_rpc.js';
 
 const DEFAULT_TIMEOUT_MS = 2_000;
@@ -36,12 +37,13 @@
 
 /**
  * Calls the router of one process over a WebSocket. The connection is replaced
- * when it closes, misses a pong or does not deliver a response in time.
+ * when it closes, misses a pong, or delivers nothing while a call waits in vain.
  */
 export class RpcClient<R extends AnyRouter> {
   readonly address: Address;
   private readonly timeoutMs: number;
   private readonly query: string;
+  private watch = new ConnectionWatch();
   private socket: ReturnType<typeof createWSClient>;
   private client: TRPCClient<R>;
 
@@ -63,13 +65,16 @@
     invoke: (client: TRPCClient<R>, signal: AbortSignal) => Promise<T>,
     timeoutMs = this.timeoutMs,
   ): Promise<Result<T>> {
-    const socket = this.socket;
+    const {socket, watch} = this;
+    const mark = watch.mark();
     const signal = AbortSignal.timeout(Math.ceil(timeoutMs));
     try {
       return succeed(await invoke(this.client, signal));
     } catch (error) {
       const vmuxError = toVmuxError(error, signal, this.address);
-      if (vmuxError.code === ErrorCodes.Timeout) this.replaceSocket(socket);
+      // A busy host would only have more work with a new connection.
+      if (vmuxError.code === ErrorCodes.Timeout && !watch.isAlive(mark))
+        this.replaceSocket(socket);
       return fail(vmuxError);
     }
   }
@@ -92,9 +97,16 @@
 
   private connect(): ReturnType<typeof createWSClient> {
     const {host, port} = this.address;
+    const watch = new ConnectionWatch();
+    this.watch = watch;
+    class WatchedSocket extends WebSocket {
+      constructor(url: string) {
+        super(url, {createConnection: () => watch.connect({host, port})});
+      }
+    }
     return createWSClient({
       url: `ws://${host}:${port}${RPC_PATH}${this.query}`,
-      WebSocket: WebSocket as unknown as typeof globalThis.WebSocket,
+      WebSocket: WatchedSocket as unknown as typeof globalThis.WebSocket,
       retryDelayMs: attempt =>
         Math.min(
           INITIAL_RECONNECT_DELAY_MS * 2 ** attempt,
