--- a/packages/control/src/change_collector.ts
+++ b/packages/control/src/change_collector.ts
@@ -75,7 +75,12 @@
   private async rest(): Promise<void> {
     const startedMs = monotonicMs();
     await setImmediate();
-    await this.turns.idle();
+    const timer = new AbortController();
+    await Promise.race([
+      this.turns.idle(),
+      sleep(MAX_COLLECT_MS, timer.signal),
+    ]);
+    timer.abort();
     const restMs = REST_FACTOR * (monotonicMs() - startedMs);
     await sleep(Math.min(Math.max(restMs, COLLECT_MS), MAX_COLLECT_MS));
   }
