fix(gateway): a status above 599 is no response

What callers saw: status 600 or 999, a body and the signature of the backend server; in the entry package, those of a plain service, whose at-most-once requests are then settled with it.

Cause: the undici client refuses statuses below 100 and of other than three digits, and takes every one from 100 to 999.

Change: `findHeadFault` takes the status as well. RFC 9110, section 15, asks clients to treat such a response as a server error; the client gets 502.

--- a/packages/entry/__tests__/malformed_head.test.ts
+++ b/packages/entry/__tests__/malformed_head.test.ts
@@ -70,6 +70,8 @@
     'HTTP/1.1 0200 OK',
     'HTTP/1.1 20 OK',
     'HTTP/1.1 2x0 OK',
+    'HTTP/1.1 600 OK',
+    'HTTP/1.1 999 OK',
     'HTTP/1.1',
     'HTTP/1.1 200 O\x00K',
     'HTTP/1.1 200 O\x01K',
--- a/packages/entry/src/response_check.ts
+++ b/packages/entry/src/response_check.ts
@@ -26,7 +26,7 @@
     headers: IncomingHttpHeaders,
     statusText?: string,
   ): void {
-    const fault = findHeadFault(headers, statusText);
+    const fault = findHeadFault(status, headers, statusText);
     if (fault) return controller.abort(new Error(fault));
     this.handler.onResponseStart?.(controller, status, headers, statusText);
   }
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -109,7 +109,7 @@
     reasonPhrase?: string,
   ): void {
     if (status < 200) return;
-    const fault = findHeadFault(headers, reasonPhrase);
+    const fault = findHeadFault(status, headers, reasonPhrase);
     if (fault) return this.cancel(fault);
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
     this.responseHead.resolve(succeed({status, headers, rawHeaders}));
--- a/packages/shared/__tests__/find_head_fault.test.ts
+++ b/packages/shared/__tests__/find_head_fault.test.ts
@@ -5,12 +5,14 @@
 
 interface Case {
   readonly name: string;
+  readonly status?: number;
   readonly headers?: IncomingHttpHeaders;
   readonly reasonPhrase?: string;
 }
 
 const SOUND: readonly Case[] = [
   {name: 'no fields'},
+  {name: 'the highest status', status: 599},
   {name: 'a length', headers: {'content-length': '5'}},
   {name: 'chunks', headers: {'transfer-encoding': 'chunked'}},
   {name: 'chunks, other case', headers: {'transfer-encoding': ' Chunked '}},
@@ -19,6 +21,7 @@
 ];
 
 const MALFORMED: readonly Case[] = [
+  ...[600, 999].map(status => ({name: `status ${status}`, status})),
   ...['', 'x', 'gzip', 'identity', '"chunked"', 'x, chunked', 'chunked, x'].map(
     coding => ({
       name: `transfer coding "${coding}"`,
@@ -38,15 +41,15 @@
 ];
 
 describe('findHeadFault', () => {
-  for (const {name, headers = {}, reasonPhrase} of SOUND) {
+  for (const {name, status = 200, headers = {}, reasonPhrase} of SOUND) {
     it(`accepts ${name}`, () => {
-      assert.equal(findHeadFault(headers, reasonPhrase), undefined);
+      assert.equal(findHeadFault(status, headers, reasonPhrase), undefined);
     });
   }
 
-  for (const {name, headers = {}, reasonPhrase} of MALFORMED) {
+  for (const {name, status = 200, headers = {}, reasonPhrase} of MALFORMED) {
     it(`rejects ${name}`, () => {
-      assert.notEqual(findHeadFault(headers, reasonPhrase), undefined);
+      assert.notEqual(findHeadFault(status, headers, reasonPhrase), undefined);
     });
   }
 });
