fix(entry): a crashed service does not complete its response

What callers saw: of a plain service that crashes inside a response without a length, the part, as the whole response; of an at-most-once request it is also stored in the register and replayed.

Cause: as in the gateway; a crash ends a connection like the end of a body.

Change: after the end of such a body the service has to accept a connection. One that refuses is gone, and the outcome of the call is unknown. `confirmEnd` of the gateway moves to `shared` for this.

--- a/packages/entry/__tests__/reset_response.test.ts
+++ b/packages/entry/__tests__/reset_response.test.ts
@@ -75,6 +75,23 @@
   }
 });
 
+// A crashed process's connections end like those of one that has sent all.
+describe('a part of a response of a service that has crashed', () => {
+  for (const {name: part, text} of PARTS) {
+    it(`does not look complete: ${part}`, async () => {
+      const options = {
+        text,
+        isReaderBusy: false,
+        isReset: false,
+        stopsListening: true,
+      };
+      const result = await callService(options, 0);
+      assert.ok(!result.ok, JSON.stringify(result));
+      assert.equal(result.error.ran, RunState.Unknown);
+    });
+  }
+});
+
 describe('a whole response of a service', () => {
   for (const {name: reader, isReaderBusy} of READERS) {
     it(`is complete to ${reader} once its connection has closed`, async () => {
--- a/packages/entry/__tests__/support/breaking_server_options.ts
+++ b/packages/entry/__tests__/support/breaking_server_options.ts
@@ -4,6 +4,8 @@
   readonly text: string;
   /** Whether the connection is then reset, and not closed. */
   readonly isReset: boolean;
+  /** Whether the server stops to listen before that, as in a crash. */
+  readonly stopsListening?: boolean;
   /** Whether the event loop of the reader is blocked from then on. */
   readonly isReaderBusy: boolean;
 }
--- a/packages/entry/__tests__/support/breaking_server_thread.ts
+++ b/packages/entry/__tests__/support/breaking_server_thread.ts
@@ -3,7 +3,7 @@
 import {BreakState} from './break_state.js';
 import type {BreakingServerOptions} from './breaking_server_options.js';
 
-const {text, isReset, isReaderBusy, sharedState} =
+const {text, isReset, stopsListening, isReaderBusy, sharedState} =
   workerData as BreakingServerOptions & {
     readonly sharedState: SharedArrayBuffer;
   };
@@ -22,6 +22,7 @@
       parentPort!.postMessage('request arrived');
       Atomics.wait(state, 0, BreakState.Started);
     }
+    if (stopsListening) server.close();
     if (isReset) {
       socket.on('close', reportEnd);
       socket.write(text, () => socket.resetAndDestroy());
--- a/packages/entry/src/service_client.ts
+++ b/packages/entry/src/service_client.ts
@@ -1,6 +1,7 @@
 import type {IncomingHttpHeaders} from 'node:http';
 import type {StoredResponse} from '@vanillamux/control';
 import {
+  confirmEnd,
   ErrorCodes,
   fail,
   RunState,
@@ -79,7 +80,12 @@
           signal,
         },
       );
-      return await readResponse(response);
+      const result = await readResponse(response);
+      // A crash ends a connection like the end of a body without a length.
+      if (isFramed(response) || !(await confirmEnd(address))) return result;
+      const message = 'the service was gone at the end of its response';
+      const options = {message, ran: RunState.Unknown};
+      return fail(new VmuxError(ErrorCodes.BackendFailed, options));
     } finally {
       this.connections.delete(connection);
       await connection.close();
@@ -87,6 +93,14 @@
   }
 }
 
+/** Whether the headers delimit the body. */
+function isFramed({headers}: Dispatcher.ResponseData): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 function selectForwardedHeaders(
   headers: IncomingHttpHeaders,
 ): Record<string, string> {
--- a/packages/gateway/src/quarantine/quarantine_manager.ts
+++ b/packages/gateway/src/quarantine/quarantine_manager.ts
@@ -1,10 +1,14 @@
 import {chooseOwner} from '@vanillamux/routing';
-import {getLogger, monotonicMs, type Address} from '@vanillamux/shared';
+import {
+  confirmEnd,
+  getLogger,
+  monotonicMs,
+  type Address,
+} from '@vanillamux/shared';
 import {FactSource} from '../peers/fact_source.js';
 import type {PeerFacts} from '../peers/peer_facts.js';
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
-import {confirmEnd} from './confirm_end.js';
 import {CrashLedger} from './crash_ledger.js';
 import type {CrashReport} from './crash_report.js';
 import {isRequestSuspect} from './is_request_suspect.js';
--- a/packages/gateway/src/quarantine/confirm_end.ts
+++ b/packages/shared/src/confirm_end.ts
@@ -1,5 +1,5 @@
 import {connect} from 'node:net';
-import type {Address} from '@vanillamux/shared';
+import type {Address} from './address.js';
 
 /** Time in which a host on the same network refuses a connection. */
 const CONNECT_TIMEOUT_MS = 250;
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -2,6 +2,7 @@
 export {addressSchema} from './address_schema.js';
 export {destinationSchema} from './destination_schema.js';
 export {RingBuffer} from './ring_buffer.js';
+export {confirmEnd} from './confirm_end.js';
 export {configureLogging, type LoggingOptions} from './configure_logging.js';
 export {Deferred} from './deferred.js';
 export {ErrorCodes} from './error_codes.js';
