fix(gateway): read what has arrived before idle connections are closed

What callers saw: a request on a kept connection was reset unread though it had been sent up to half a second earlier, when its entry host stopped and its event loop had been held up. The same on a connection that was not accepted yet.

Cause: the stop closes idle connections from a timer. The event loop calls timers that are due before it polls, so after a pause the connections looked idle while their requests were waiting to be read.

Change: pollIo lets the event loop accept and read what has arrived (two polls, as a connection is read in the poll after it was accepted), and the stop calls it before each look for idle connections. What arrives later is still reset unread, which tells its client that it wasn't taken.

--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -10,6 +10,7 @@
   HybridClock,
   listen,
   monotonicMs,
+  pollIo,
   sleep,
   succeed,
   type Address,
@@ -291,6 +292,7 @@
     log.info('Draining.', this.openCounts());
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.stopGate.close(killMs - EXIT_MARGIN_MS);
+    await pollIo();
     for (const server of this.servers) server.close();
     await this.drainUntil(killMs - EXIT_MARGIN_MS);
     log.info('Stopped.', this.openCounts());
@@ -372,9 +374,11 @@
    * it, of which a part may have arrived.
    */
   private async drainUntil(endMs: number): Promise<void> {
+    await pollIo();
     this.closeIdleConnections();
     while (this.isServing && monotonicMs() < endMs) {
       await sleep(DRAIN_CHECK_INTERVAL_MS);
+      await pollIo();
       this.closeIdleConnections();
     }
   }
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -27,6 +27,7 @@
 export {onReset} from './on_reset.js';
 export {parseAddress} from './parse_address.js';
 export {parseYaml} from './parse_yaml.js';
+export {pollIo} from './poll_io.js';
 export {readBody} from './read_body.js';
 export {type Result} from './result.js';
 export {runBinary, type BinaryOptions, type Stoppable} from './run_binary.js';
