--- a/packages/fleet/src/managed_process.ts
+++ b/packages/fleet/src/managed_process.ts
@@ -24,6 +24,10 @@
     return this.options.name;
   }
 
+  get logFile(): string {
+    return this.options.logFile;
+  }
+
   get pid(): number | undefined {
     return this.child?.pid;
   }
@@ -38,6 +42,11 @@
     return this.child?.exitCode ?? null;
   }
 
+  /** Signal that ended the process; null while it runs or if it exited. */
+  get signalCode(): NodeJS.Signals | null {
+    return this.child?.signalCode ?? null;
+  }
+
   start(): void {
     const {script, args, logFile, nodeArgs = []} = this.options;
     const log = openSync(logFile, 'a');
