fix(entry): wait for queued requests at a stop

What callers saw: a request that vmux-entry had taken and queued could be cut, well before its deadline, when the host stopped.

Cause: the drain waited until the latest deadline of the requests that were in flight at its start. A queued one is in flight only once it gets a place, and its deadline may be later by as much as its class allows; it was left 5 s.

Evidence: drain.test.ts queues a request behind one with an earlier deadline. On the old condition the drain has ended while the second request waits.

Change: RequestManager knows the queued requests too, and its drain waits until the last deadline of all that are open, read anew each time.

--- a/packages/entry/src/entry_host.ts
+++ b/packages/entry/src/entry_host.ts
@@ -205,21 +205,11 @@
   }
 
   /**
-   * Refuses new requests and waits until those in flight have finished or
-   * reached their deadlines.
+   * Refuses new requests and waits until the others have finished or reached
+   * their deadlines.
    */
-  async waitForDrain(): Promise<void> {
-    this.requests.stopAdmitting();
-    const deadlinesMs = this.requests
-      .listInFlight()
-      .map(({deadlineMs}) => deadlineMs);
-    const lastDeadlineMs = Math.max(monotonicMs(), ...deadlinesMs);
-    while (
-      this.requests.listInFlight().length > 0 &&
-      monotonicMs() < lastDeadlineMs
-    ) {
-      await sleep(DRAIN_POLL_INTERVAL_MS);
-    }
+  waitForDrain(): Promise<void> {
+    return this.requests.drain();
   }
 
   /** Flushes settlements and the record, then stops every background task. */
--- a/packages/entry/src/request_manager.ts
+++ b/packages/entry/src/request_manager.ts
@@ -15,6 +15,7 @@
   getLogger,
   monotonicMs,
   RunState,
+  sleep,
   succeed,
   VmuxError,
   type Result,
@@ -24,6 +25,8 @@
 import type {EntryMetrics} from './entry_metrics.js';
 import type {RequestContext} from './request_context.js';
 
+const DRAIN_POLL_INTERVAL_MS = 20;
+
 const log = getLogger('http');
 
 /** What is known of a request before its admission. */
@@ -65,6 +68,7 @@
 export class RequestManager {
   readonly admission = new AdmissionController();
   private readonly inFlightById = new Map<string, RequestContext>();
+  private readonly queued = new Set<RequestContext>();
   private isDraining = false;
 
   constructor(private readonly options: RequestManagerOptions) {}
@@ -74,9 +78,14 @@
     return [...this.inFlightById.values()];
   }
 
-  /** Makes `admit` refuse every later request. */
-  stopAdmitting(): void {
+  /**
+   * Makes `admit` refuse every later request, and waits until those that were
+   * admitted or queued have finished or reached their deadlines.
+   */
+  async drain(): Promise<void> {
     this.isDraining = true;
+    while (this.lastDeadlineMs > monotonicMs())
+      await sleep(DRAIN_POLL_INTERVAL_MS);
   }
 
   /** Creates a request's context: its id, deadline and abort signal. */
@@ -103,9 +112,7 @@
     recordDetails: RequestRecordDetails,
   ): Promise<Result<Permit>> {
     const refusal = this.findRefusal();
-    const permit = refusal
-      ? fail(refusal)
-      : await this.admission.admit({...ctx, costTokens});
+    const permit = refusal ? fail(refusal) : await this.wait(ctx, costTokens);
     if (!permit.ok) {
       this.refuse(ctx, permit.error, recordDetails);
       return permit;
@@ -193,6 +200,22 @@
     });
   }
 
+  private async wait(
+    ctx: RequestContext,
+    costTokens: number,
+  ): Promise<Result<Permit>> {
+    this.queued.add(ctx);
+    const permit = await this.admission.admit({...ctx, costTokens});
+    this.queued.delete(ctx);
+    return permit;
+  }
+
+  /** Latest deadline of those admitted or queued, on the monotonic clock. */
+  private get lastDeadlineMs(): number {
+    const open = [...this.inFlightById.values(), ...this.queued];
+    return Math.max(-Infinity, ...open.map(({deadlineMs}) => deadlineMs));
+  }
+
   private findRefusal(): VmuxError | undefined {
     if (this.isDraining) return new VmuxError(ErrorCodes.ShuttingDown);
     if (this.options.recorder.hasCapacity) return undefined;
