fix(gateway): accept what is waiting before a listener is closed

What callers saw: a request on a new connection was reset unread when its entry host stopped, though the connection stood and the request had been sent up to half a second earlier.

Cause: libuv 1.46 accepts one connection in each poll of the event loop. The others wait in the backlog of the listener, and closing it resets them.

Evidence: "answers the requests that had arrived on new connections" of busy_stop.test.ts opens 20 connections while the process is frozen over the end of its drain notice. The same was first seen without a freeze, on a busy machine: new connections of up to 224 ms, reset together.

Change: the stop polls until no further connection is accepted, at most as often as the backlog is long, and then closes the listeners.

--- a/packages/gateway/src/server/client_server.ts
+++ b/packages/gateway/src/server/client_server.ts
@@ -29,6 +29,7 @@
  */
 export class ClientServer extends Server {
   private readonly states = new Map<Socket, ConnectionState>();
+  private accepted = 0;
 
   constructor(
     options: ServerOptions,
@@ -42,6 +43,11 @@
     this.on('request', (req, res) => this.track(req.socket, res));
   }
 
+  /** Number of connections accepted since the start. */
+  get acceptedCount(): number {
+    return this.accepted;
+  }
+
   /** Number of open connections. */
   get connectionCount(): number {
     return this.states.size;
@@ -90,6 +96,7 @@
       bytesRead: 0,
     };
     this.states.set(socket, state);
+    this.accepted++;
     const recordLeft = (): void => {
       state.endReason ??= UnansweredReason.ClientLeft;
     };
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -62,6 +62,8 @@
 /** Time before the kill by which the process has to have exited. */
 const EXIT_MARGIN_MS = 600;
 const DRAIN_CHECK_INTERVAL_MS = 50;
+/** Connections that the system holds until they are accepted, as Node.js asks. */
+const LISTEN_BACKLOG = 511;
 /** Time in which clients receive the error responses of cut requests. */
 const CUT_TIMEOUT_MS = 100;
 /** Time before the kill that is left to flush the log and to exit. */
@@ -292,7 +294,7 @@
     log.info('Draining.', this.openCounts());
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.stopGate.close(killMs - EXIT_MARGIN_MS);
-    await pollIo();
+    await this.acceptArrived();
     for (const server of this.servers) server.close();
     await this.drainUntil(killMs - EXIT_MARGIN_MS);
     log.info('Stopped.', this.openCounts());
@@ -368,6 +370,23 @@
     this.factSync.onPeers(peers.length - 1);
   }
 
+  /**
+   * Accepts the connections that have arrived and reads what was sent on them.
+   * libuv accepts one in each poll, and the end of a listener resets the others.
+   */
+  private async acceptArrived(): Promise<void> {
+    for (let round = 0; round < LISTEN_BACKLOG; round++) {
+      const {acceptedCount} = this;
+      await pollIo();
+      if (this.acceptedCount === acceptedCount) return;
+    }
+  }
+
+  private get acceptedCount(): number {
+    const counts = this.servers.map(({acceptedCount}) => acceptedCount);
+    return counts.reduce((sum, count) => sum + count, 0);
+  }
+
   /**
    * Waits until every connection is closed, so that nothing more can be read, at
    * most until `endMs`. A connection closes once no request is in progress on
