fix(gateway): an end of a paused connection does not end the process

Cause: the undici client asserts that its parser isn't paused when a connection ends. `Exchange` pauses it above 256 KiB of unread bytes, and the last bytes of a body may be those that do.

Change: the parser is resumed at the end, before the client's own listener; nothing more can arrive then. Calls of services in `packages/entry` do the same. The pooled engine client there can't tell which response ends with a connection; it stays open.

--- a/packages/entry/src/response_check.ts
+++ b/packages/entry/src/response_check.ts
@@ -8,15 +8,26 @@
  * response without a length.
  */
 export class ResponseCheck implements Dispatcher.DispatchHandler {
+  private controller?: Dispatcher.DispatchController;
+
   constructor(
     private readonly handler: Dispatcher.DispatchHandler,
     private readonly wasReset: () => boolean = () => false,
   ) {}
 
+  /**
+   * Called at the end of the connection, before the undici client reads it, which
+   * throws while it is paused.
+   */
+  resume(): void {
+    if (this.controller?.paused) this.controller.resume();
+  }
+
   onRequestStart(
     controller: Dispatcher.DispatchController,
     context: unknown,
   ): void {
+    this.controller = controller;
     this.handler.onRequestStart?.(controller, context);
   }
 
@@ -35,7 +46,8 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    this.handler.onResponseData?.(controller, chunk);
+    // The parser of a resumed connection reports that it has no bytes.
+    if (chunk.length > 0) this.handler.onResponseData?.(controller, chunk);
   }
 
   onResponseEnd(
--- a/packages/entry/src/service_connection.ts
+++ b/packages/entry/src/service_connection.ts
@@ -10,6 +10,7 @@
   readonly dispatcher: Dispatcher;
   private readonly client: Client;
   private wasReset = false;
+  private check?: ResponseCheck;
 
   constructor({host, port}: Address) {
     const connect = createLimitedConnector(CONNECT_TIMEOUT_MS);
@@ -18,15 +19,16 @@
         connect(options, (...result) => {
           const [, socket] = result;
           if (socket) onReset(socket, () => (this.wasReset = true));
+          socket?.on('end', () => this.check?.resume());
           callback(...result);
         }),
       headersTimeout: 0,
       bodyTimeout: 0,
     });
-    this.dispatcher = this.client.compose(
-      dispatch => (options, handler) =>
-        dispatch(options, new ResponseCheck(handler, () => this.wasReset)),
-    );
+    this.dispatcher = this.client.compose(dispatch => (options, handler) => {
+      this.check = new ResponseCheck(handler, () => this.wasReset);
+      return dispatch(options, this.check);
+    });
   }
 
   /** Closes the connection; a call on it fails. */
--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -14,6 +14,8 @@
   readonly client: Client;
   /** Called when bytes have arrived, before they are parsed. */
   onReadable: () => void = () => {};
+  /** Called when the peer has ended the connection, after its last bytes. */
+  onEnd: () => void = () => {};
   private socket?: Socket;
   private failed = false;
 
@@ -29,6 +31,7 @@
           // the end of a response that has no length.
           if (socket) onReset(socket, () => (this.failed = true));
           socket?.on('readable', () => this.onReadable());
+          socket?.on('end', () => this.onEnd());
           callback(...result);
         }),
       keepAliveTimeout: IDLE_TIMEOUT_MS,
--- a/packages/gateway/src/connection/connection_pool.ts
+++ b/packages/gateway/src/connection/connection_pool.ts
@@ -88,6 +88,7 @@
   const connection = {
     hasFailed: true,
     onReadable: () => undefined,
+    onEnd: () => undefined,
     parsedBytes: 0,
     close: () => undefined,
   };
--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -26,7 +26,7 @@
 /** What an exchange needs of its connection. */
 export type ExchangeConnection = Pick<
   Connection,
-  'hasFailed' | 'onReadable' | 'parsedBytes' | 'close'
+  'hasFailed' | 'onReadable' | 'onEnd' | 'parsedBytes' | 'close'
 >;
 
 /** One request and its response on one connection to a backend server. */
@@ -53,6 +53,8 @@
     private readonly onReusable: () => void,
   ) {
     connection.onReadable = () => this.checkFramingSize();
+    // The undici client throws when a connection ends while it is paused.
+    connection.onEnd = () => this.resume();
   }
 
   /** Resolves to the response head, or to the error that prevented it. */
@@ -75,7 +77,7 @@
       this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
     this.chunks = [];
     this.bufferedBytes = 0;
-    if (this.controller?.paused) this.controller.resume();
+    this.resume();
     return succeed(bytes);
   }
 
@@ -119,6 +121,8 @@
     controller: Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    // The parser of a resumed connection reports that it has no bytes.
+    if (chunk.length === 0) return;
     this.chunks.push(chunk);
     this.bufferedBytes += chunk.length;
     this.bodyBytes += chunk.length;
@@ -147,6 +151,10 @@
     });
   }
 
+  private resume(): void {
+    if (this.controller?.paused) this.controller.resume();
+  }
+
   private checkBodySize(): void {
     const {bodyBytes, maxBodyBytes} = this;
     if (bodyBytes > maxBodyBytes)
