fix(gateway): bytes of a body are given back when its client leaves early

What callers saw: after clients had left while the end of their response was being verified, sound requests got 502, as no room was left for bodies.

Cause: the release was registered after the verification, when the releases of the request had already run.

There is no test of it in the repository yet.

Change: the release is registered before the body is read.

--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -152,14 +152,14 @@
   ): Promise<ReceivedBody | ExchangeError> {
     const {responseBytes} = this.components;
     const hold = responseBytes.open(this.decision.backend.presence.id);
+    // Also called if the client leaves before the body is known to be whole.
+    this.request.onRelease(() => hold.release());
     const bytes = await this.readHeldBody(exchange, hold);
     const verdict = Buffer.isBuffer(bytes)
       ? await this.verifyEnd(head)
       : EndVerdict.Broken;
-    if (Buffer.isBuffer(bytes) && verdict !== EndVerdict.Broken) {
-      this.request.onRelease(() => hold.release());
+    if (Buffer.isBuffer(bytes) && verdict !== EndVerdict.Broken)
       return {bytes, isProvenWhole: verdict === EndVerdict.Whole};
-    }
     hold.release();
     return Buffer.isBuffer(bytes) ? createBrokenOffError() : bytes;
   }
