fix(gateway): believe that a server goes on only if a connection lasts

And a sound last response of a server that had deregistered, or that refused connections for its limit, got 502.

Cause: the listener of a process that ends may outlive its connections, and accepts meanwhile; a failed connection in turn doesn't prove an end.

Change: the connection has to last for 100 ms. Only a refusal by a server that is still known, and has not said that it leaves, proves that it is gone. In all other cases the end is believed, and a whole body stays without a length. Peers frame what they have verified, so nothing is asked of them.

A body without a length reaches its client 100 ms later than before, and the last chunk of such a stream; events don't wait.

--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -12,8 +12,6 @@
  * region, and the delay of a busy host.
  */
 const PROBE_HOLD_MS = 100;
-/** Covers the loss of single packets. */
-const MAX_LISTENER_CHECKS = 3;
 const REFUSED_CODE = 'ECONNREFUSED';
 
 /** Holds the connection pool of each backend server. */
@@ -54,19 +52,17 @@
   }
 
   /**
-   * Whether something listens at the address of a backend server or peer. No
-   * request is sent. Takes a round trip, or three timeouts for a connection.
+   * Whether something listens at the address of a backend server. No request is
+   * sent. The listener of a process that ends may outlive its other connections,
+   * so that an accepted connection has to last for a moment.
    */
-  async listenerState({presence}: Backend): Promise<ListenerState> {
-    for (let checks = 0; checks < MAX_LISTENER_CHECKS; checks++) {
-      const socket = await this.connect(presence.address);
-      if (!(socket instanceof Error)) {
-        socket.destroy();
-        return ListenerState.Listening;
-      }
-      if (socket.code === REFUSED_CODE) return ListenerState.Closed;
-    }
-    return ListenerState.Unreachable;
+  async listenerState(backend: Backend): Promise<ListenerState> {
+    if (await this.probe(backend)) return ListenerState.Listening;
+    const socket = await this.connect(backend.presence.address);
+    if (socket instanceof Error && socket.code === REFUSED_CODE)
+      return ListenerState.Closed;
+    if (!(socket instanceof Error)) socket.destroy();
+    return ListenerState.Unclear;
   }
 
   /**
--- a/packages/gateway/src/connection/listener_state.ts
+++ b/packages/gateway/src/connection/listener_state.ts
@@ -3,5 +3,6 @@
   Listening = 'listening',
   /** The server's host is up, and nothing listens at the address. */
   Closed = 'closed',
-  Unreachable = 'unreachable',
+  /** The server may be overloaded, or out of reach. */
+  Unclear = 'unclear',
 }
--- a/packages/gateway/src/relay/peer_destination.ts
+++ b/packages/gateway/src/relay/peer_destination.ts
@@ -1,6 +1,5 @@
 import {monotonicMs} from '@vanillamux/shared';
 import type {ExchangeRequest} from '../connection/exchange_request.js';
-import {ListenerState} from '../connection/listener_state.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 import {readRetryAfterMs} from '../dialect/read_retry_after_ms.js';
@@ -19,10 +18,7 @@
 
 /** Options of a `PeerDestination`. */
 export interface PeerDestinationOptions {
-  readonly components: Pick<
-    GatewayComponents,
-    'connections' | 'dialect' | 'relayPeers'
-  >;
+  readonly components: Pick<GatewayComponents, 'dialect' | 'relayPeers'>;
   /** Id of this entry host. */
   readonly hostId: string;
   readonly request: ClientRequest;
@@ -103,12 +99,8 @@
   }
 
   /** A peer gives a length to the bodies that it has found to be whole. */
-  async verifyEnd(): Promise<EndVerdict> {
-    const {components, decision} = this.options;
-    const state = await components.connections.listenerState(decision.backend);
-    return state === ListenerState.Listening
-      ? EndVerdict.Unproven
-      : EndVerdict.Broken;
+  verifyEnd(): Promise<EndVerdict> {
+    return Promise.resolve(EndVerdict.Unproven);
   }
 
   /** The peer is ejected; it says nothing of backend servers. */
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -104,13 +104,15 @@
   private judgeEnd(state: ListenerState): EndVerdict {
     if (state === ListenerState.Listening) return EndVerdict.Whole;
     const {backends} = this.options.components;
-    const {presence} = this.options.decision.backend;
+    const {backend} = this.options.decision;
+    const {presence} = backend;
     const isLeaving =
       presence.state === PresenceState.Draining ||
-      backends.departures.has(presence);
-    return isLeaving && state === ListenerState.Closed
-      ? EndVerdict.Unproven
-      : EndVerdict.Broken;
+      backends.departures.has(presence) ||
+      backends.get(presence.id) !== backend;
+    return state === ListenerState.Closed && !isLeaving
+      ? EndVerdict.Broken
+      : EndVerdict.Unproven;
   }
 
   /** Lists the helpers; engines with a reservation come first, in order. */
