fix(control): tell hosts at once of a service's first two servers

What callers saw: where a host knew one of two servers and that one wanted a pause, the client was refused, though the other server was ready (a regression of collecting changes).

Cause: all changes of ready servers wait for the next batch, up to 250 ms. With one server known, a host has no other to turn to in that time.

Change: a changed report is urgent while its service has at most two ready servers. There are at most two such batches for each service, so a return of all hosts does not become reports times hosts again. Tests of the feed begin with two known servers; their counts are as before.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -161,8 +161,10 @@
     );
   }
 
-  /** Starts the hosts, and waits until each has all that there is. */
-  async start(): Promise<void> {
+  /** Starts the hosts, and waits until each knows `servers` of the service. */
+  async start(servers = 2): Promise<void> {
+    for (let at = 1; at <= servers; at++)
+      this.registry.receive(report(REPORTS + at));
     for (let at = 0; at < HOSTS; at++) void this.run(at);
     await this.settle();
     mock.timers.tick(MAX_COLLECT_MS);
@@ -249,6 +251,23 @@
     await started;
   });
 
+  for (const {servers, answers} of [
+    {servers: 1, answers: 1},
+    {servers: 2, answers: 2},
+    {servers: 3, answers: 3},
+    {servers: REPORTS, answers: 3},
+  ]) {
+    it(`tells at once of a service's first two servers of ${servers}`, async () => {
+      const hosts = new PollingHosts();
+      await hosts.start(0);
+      for (let sequence = 1; sequence <= servers; sequence++) {
+        hosts.registry.receive(report(sequence));
+        await hosts.settle();
+      }
+      assert.equal(hosts.updates.length, answers * HOSTS);
+    });
+  }
+
   for (const state of [
     PresenceState.Draining,
     PresenceState.Gone,
--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -19,6 +19,9 @@
 /** Silence in heartbeats after which an unchanged report counts as a change. */
 const REFRESH_AFTER_HEARTBEATS = 2;
 
+/** Ready servers of a service up to which an entry host has hardly a choice. */
+const FEW_SERVERS = 2;
+
 /** Difference between two ends of a cold stretch that are the same to hosts. */
 const COLD_TOLERANCE_MS = 250;
 
@@ -99,13 +102,16 @@
       this.now() - (this.lastReceivedMsById.get(report.id) ?? -Infinity);
     this.lastReceivedMsById.set(report.id, this.now());
     const coldChangeMs = Math.abs(this.coldLeftMs(current) - coldBeforeMs);
-    const isRedundant =
+    const isRefresh =
       changes.length === 1 &&
       previous !== undefined &&
-      isUnchanged(previous, current) &&
+      isUnchanged(previous, current);
+    const isRedundant =
+      isRefresh &&
       coldChangeMs <= COLD_TOLERANCE_MS &&
       elapsedMs < REFRESH_AFTER_HEARTBEATS * this.options.heartbeatMs;
-    if (!isRedundant) this.appendChanges(changes);
+    if (!isRedundant)
+      this.appendChanges(changes, !isRefresh && this.isRare(current));
     return true;
   }
 
@@ -183,7 +189,19 @@
     return {...report, coldForMs: Math.ceil(this.coldLeftMs(report))};
   }
 
-  private appendChanges(changes: readonly Presence[]): void {
+  /** Whether a ready server is one of few that its service has. */
+  private isRare({service}: Presence): boolean {
+    let ready = 0;
+    for (const other of this.presenceTable.list())
+      if (other.service === service && other.state === PresenceState.Ready)
+        if (++ready > FEW_SERVERS) return false;
+    return true;
+  }
+
+  private appendChanges(
+    changes: readonly Presence[],
+    isRareServer = false,
+  ): void {
     if (changes.length === 0) return;
     for (const presence of changes) {
       this.positionById.set(presence.id, ++this.lastPosition);
@@ -197,7 +215,7 @@
         coldForMs: presence.coldForMs,
       });
     }
-    this.changes.emit({isUrgent: changes.some(isUrgent)});
+    this.changes.emit({isUrgent: isRareServer || changes.some(isUrgent)});
   }
 }
 
