--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -37,6 +37,7 @@
   SettingsWatcher,
   type SettingsWatcherOptions,
 } from './settings_watcher.js';
+export {SharedTask} from './shared_task.js';
 export {sleep} from './sleep.js';
 export {succeed} from './succeed.js';
 export {Timeline, type TimelineOptions} from './timeline.js';
