fix(gateway): ask who listens at the end of a body without a length

Cause: the check at the end of such a body only asks whether anything accepts a connection at the address. A successor of the process does.

Another id or start means that the process which sent the body has ended: the attempt counts as broken off, unless the server had said that it leaves. A newer incarnation no longer counts as leaving. A process that answers has outlived the body, so the 100 ms for which a bare connection was held are not waited for any more; a process that doesn't answer in 100 ms is verified as before. The checks are shared (ProcessChecks).

--- a/packages/gateway/__tests__/config_store.test.ts
+++ b/packages/gateway/__tests__/config_store.test.ts
@@ -33,6 +33,14 @@
     throw new Error('not used');
   }
 
+  writeIdentityCall(): never {
+    throw new Error('not used');
+  }
+
+  readIdentity(): never {
+    throw new Error('not used');
+  }
+
   writeResponse(): never {
     throw new Error('not used');
   }
--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -1,9 +1,11 @@
 import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
-import {SharedTask, sleep, type Address} from '@vanillamux/shared';
+import {sleep, type Address} from '@vanillamux/shared';
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
 import {connectSocket} from './connect_socket.js';
+import type {Exchange} from './exchange.js';
+import type {ExchangeRequest} from './exchange_request.js';
 import {ListenerState} from './listener_state.js';
 import type {ResolveAddress} from './resolve_address.js';
 
@@ -17,11 +19,6 @@
 /** Holds the connection pool of each backend server. */
 export class ConnectionPools {
   private readonly pools = new Map<Backend, ConnectionPool>();
-  /** Checks of listeners; many bodies may end at a backend server at once. */
-  private readonly listenerChecks = new WeakMap<
-    Backend,
-    SharedTask<ListenerState>
-  >();
 
   constructor(
     private readonly resolve: ResolveAddress = unchanged => unchanged,
@@ -37,6 +34,12 @@
     return pool;
   }
 
+  /** Sends a request on a connection of its own, which is closed after it. */
+  sendOnce(backend: Backend, request: ExchangeRequest): Exchange {
+    const {address} = backend.presence;
+    return new ConnectionPool(address, this.resolve).send(request, true);
+  }
+
   /**
    * Whether a backend server accepts a connection and keeps it for a moment. No
    * request is sent on it.
@@ -57,17 +60,17 @@
   }
 
   /**
-   * Whether something listens at the address of a backend server now or a moment
-   * later. Opens one connection at a time to each backend server, and sends no
-   * request.
+   * Whether something listens at the address of a backend server. No request is
+   * sent. The listener of a process that ends may outlive its other connections,
+   * so that an accepted connection has to last for a moment.
    */
-  listenerState(backend: Backend): Promise<ListenerState> {
-    let check = this.listenerChecks.get(backend);
-    if (!check) {
-      check = new SharedTask(() => this.checkListener(backend));
-      this.listenerChecks.set(backend, check);
-    }
-    return check.run();
+  async listenerState(backend: Backend): Promise<ListenerState> {
+    if (await this.probe(backend)) return ListenerState.Listening;
+    const socket = await this.connect(backend.presence.address);
+    if (socket instanceof Error && socket.code === REFUSED_CODE)
+      return ListenerState.Closed;
+    if (!(socket instanceof Error)) socket.destroy();
+    return ListenerState.Unclear;
   }
 
   /**
@@ -84,19 +87,6 @@
     for (const backend of this.pools.keys()) this.remove(backend);
   }
 
-  /**
-   * The listener of a process that ends may outlive its other connections, so
-   * that an accepted connection has to last for a moment.
-   */
-  private async checkListener(backend: Backend): Promise<ListenerState> {
-    if (await this.probe(backend)) return ListenerState.Listening;
-    const socket = await this.connect(backend.presence.address);
-    if (socket instanceof Error && socket.code === REFUSED_CODE)
-      return ListenerState.Closed;
-    if (!(socket instanceof Error)) socket.destroy();
-    return ListenerState.Unclear;
-  }
-
   private connect(address: Address): Promise<Socket | NodeJS.ErrnoException> {
     const {host: hostname, port} = this.resolve(address);
     const options = {hostname, port: String(port), protocol: 'http:'};
--- /dev/null
+++ b/packages/gateway/src/connection/process_checks.ts
@@ -0,0 +1,78 @@
+import {SharedTask} from '@vanillamux/shared';
+import type {Dialect} from '../dialect/dialect.js';
+import type {ReportedIdentity} from '../dialect/reported_identity.js';
+import type {Backend} from '../fleet/backend.js';
+import type {ConnectionPools} from './connection_pools.js';
+import {ListenerState} from './listener_state.js';
+
+/** Time in which a backend server that is not busy answers. */
+const ANSWER_TIMEOUT_MS = 100;
+/** Incarnation of a backend server that names none. */
+const UNKNOWN_INCARNATION = 0;
+
+/** Options of `ProcessChecks`. */
+export interface ProcessChecksOptions {
+  readonly connections: Pick<ConnectionPools, 'sendOnce' | 'listenerState'>;
+  readonly dialect: Pick<Dialect, 'writeIdentityCall' | 'readIdentity'>;
+}
+
+/**
+ * Finds out whether the process of a backend server goes on. Many bodies may end
+ * at a backend server at once, so that one check at a time serves them all.
+ */
+export class ProcessChecks {
+  private readonly checks = new WeakMap<Backend, SharedTask<ListenerState>>();
+
+  constructor(private readonly options: ProcessChecksOptions) {}
+
+  /** What listens at the address of a backend server now or a moment later. */
+  check(backend: Backend): Promise<ListenerState> {
+    let check = this.checks.get(backend);
+    if (!check) {
+      check = new SharedTask(() => this.run(backend));
+      this.checks.set(backend, check);
+    }
+    return check.run();
+  }
+
+  /** A process that answers goes on; one that doesn't may be busy, or have ended. */
+  private async run(backend: Backend): Promise<ListenerState> {
+    const identity = await this.ask(backend);
+    if (!identity) return this.options.connections.listenerState(backend);
+    const {incarnation} = backend.presence;
+    const isRestarted =
+      incarnation !== UNKNOWN_INCARNATION &&
+      identity.incarnation !== undefined &&
+      identity.incarnation !== incarnation;
+    return identity.isOther || isRestarted
+      ? ListenerState.Replaced
+      : ListenerState.Listening;
+  }
+
+  /** Returns what the process says of itself, or nothing without an answer. */
+  private async ask(backend: Backend): Promise<ReportedIdentity | undefined> {
+    const {connections, dialect} = this.options;
+    const {path, headers} = dialect.writeIdentityCall(backend.presence.id);
+    const request = {method: 'GET' as const, path, headers};
+    const exchange = connections.sendOnce(backend, request);
+    const timer = setTimeout(
+      () => exchange.cancel('no answer in time'),
+      ANSWER_TIMEOUT_MS,
+    );
+    try {
+      exchange.limitBody();
+      const head = await exchange.head();
+      if (!head.ok) return undefined;
+      const chunks: Buffer[] = [];
+      for (;;) {
+        const chunk = await exchange.read();
+        if (!chunk.ok) return undefined;
+        if (!chunk.value) break;
+        chunks.push(chunk.value);
+      }
+      return dialect.readIdentity(head.value.status, Buffer.concat(chunks));
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+}
--- a/packages/gateway/src/dialect/dialect.ts
+++ b/packages/gateway/src/dialect/dialect.ts
@@ -3,6 +3,8 @@
 import type {GatewayConfig} from '../config/gateway_config.js';
 import type {ResponseMetadata} from './response_metadata.js';
 import type {AttemptMetadata} from './attempt_metadata.js';
+import type {IdentityCall} from './identity_call.js';
+import type {ReportedIdentity} from './reported_identity.js';
 import type {RelayMetadata} from './relay_metadata.js';
 import type {ReservationCommand} from './reservation_command.js';
 import type {ReservationMessage} from './reservation_message.js';
@@ -44,6 +46,10 @@
   abstract writeReservationCommand(
     command: ReservationCommand,
   ): ReservationMessage;
+  /** Encodes a call that asks a backend server which process it is. */
+  abstract writeIdentityCall(backendId: string): IdentityCall;
+  /** Reads the response to an identity call; its body may be anything. */
+  abstract readIdentity(status: number, body: Buffer): ReportedIdentity;
   /**
    * Returns the headers that identify the request in a response that the
    * gateway itself generates.
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,8 @@
 export {type PrefillHelper} from './dialect/prefill_helper.js';
 export {type LoadReport} from './dialect/load_report.js';
 export {type RelayMetadata} from './dialect/relay_metadata.js';
+export {type IdentityCall} from './dialect/identity_call.js';
+export {type ReportedIdentity} from './dialect/reported_identity.js';
 export {type ReservationCommand} from './dialect/reservation_command.js';
 export {type ReservationMessage} from './dialect/reservation_message.js';
 export {type RequestMetadata} from './dialect/request_metadata.js';
--- a/packages/gateway/src/request/backend_destination.ts
+++ b/packages/gateway/src/request/backend_destination.ts
@@ -78,9 +78,9 @@
   }
 
   async verifyEnd(): Promise<EndVerdict> {
-    const {connections, metrics} = this.options.components;
+    const {processChecks, metrics} = this.options.components;
     const {backend} = this.options.decision;
-    const state = await connections.listenerState(backend);
+    const state = await processChecks.check(backend);
     const verdict = this.judgeEnd(state);
     metrics.countVerifiedEnd(backend.presence.service, verdict);
     return verdict;
@@ -100,19 +100,36 @@
     reachability.recordConnectTimeout(failureDomain, id, monotonicMs());
   }
 
-  /** A server that leaves stops to listen before its last responses end. */
   private judgeEnd(state: ListenerState): EndVerdict {
-    if (state === ListenerState.Listening) return EndVerdict.Whole;
+    switch (state) {
+      case ListenerState.Listening:
+        return EndVerdict.Whole;
+      case ListenerState.Closed:
+        return this.isLeaving() || !this.isKnown()
+          ? EndVerdict.Unproven
+          : EndVerdict.Broken;
+      case ListenerState.Replaced:
+        return this.isLeaving() ? EndVerdict.Unproven : EndVerdict.Broken;
+      case ListenerState.Unclear:
+        return EndVerdict.Unproven;
+    }
+  }
+
+  /** A server that leaves stops to listen before its last responses end. */
+  private isLeaving(): boolean {
+    const {departures} = this.options.components.backends;
+    const {presence} = this.options.decision.backend;
+    return (
+      presence.state === PresenceState.Draining || departures.has(presence)
+    );
+  }
+
+  /** Whether the backend server has not deregistered or been forgotten. */
+  private isKnown(): boolean {
     const {backends} = this.options.components;
-    const {backend} = this.options.decision;
-    const {presence} = backend;
-    const isLeaving =
-      presence.state === PresenceState.Draining ||
-      backends.departures.has(presence) ||
-      backends.get(presence.id) !== backend;
-    return state === ListenerState.Closed && !isLeaving
-      ? EndVerdict.Broken
-      : EndVerdict.Unproven;
+    return (
+      backends.get(this.options.decision.backend.presence.id) !== undefined
+    );
   }
 
   /** Lists the helpers; engines with a reservation come first, in order. */
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -1,6 +1,7 @@
 import type {ByteBudget} from '../bytes/byte_budget.js';
 import type {AdmissionPolicies} from '../admission/admission_policies.js';
 import type {ConnectionPools} from '../connection/connection_pools.js';
+import type {ProcessChecks} from '../connection/process_checks.js';
 import type {Dialect} from '../dialect/dialect.js';
 import type {BackendPool} from '../fleet/backend_pool.js';
 import type {BackendSignals} from '../fleet/backend_signals.js';
@@ -30,6 +31,7 @@
   readonly homes: HomePolicy;
   readonly knownBackends: Pick<KnownBackends, 'wait'>;
   readonly connections: ConnectionPools;
+  readonly processChecks: ProcessChecks;
   readonly placements: PlacementPolicies;
   readonly admission: AdmissionPolicies;
   readonly retryBudget: SharedRetryBudget;
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -20,6 +20,7 @@
 import {ByteBudget} from '../bytes/byte_budget.js';
 import {ColdBackends} from '../cold_backends/cold_backends.js';
 import {ConnectionPools} from '../connection/connection_pools.js';
+import {ProcessChecks} from '../connection/process_checks.js';
 import type {ResolveAddress} from '../connection/resolve_address.js';
 import type {Dialect} from '../dialect/dialect.js';
 import {DepartureManager} from '../departures/departure_manager.js';
@@ -459,6 +460,10 @@
       }),
       knownBackends: this.known,
       connections: this.connections,
+      processChecks: new ProcessChecks({
+        connections: this.connections,
+        dialect,
+      }),
       placements: new PlacementPolicies(
         settings.placement,
         settings.failureDomain,
