test(gateway): judge ends by what the process check says

It has a row for each server and for each answer of the process check now, 25 instead of 15; one expectation changed: a server with a newer incarnation whose old address is closed has crashed unless it had said that it leaves (was: unproven).

--- a/packages/gateway/__tests__/verified_end.test.ts
+++ b/packages/gateway/__tests__/verified_end.test.ts
@@ -7,27 +7,50 @@
 import {Backend} from '../src/fleet/backend.js';
 import {createPresence} from './create_backend.js';
 
-const {Listening, Closed, Unclear} = ListenerState;
+const {Listening, Closed, Replaced, Unclear} = ListenerState;
 const {Whole, Unproven, Broken} = EndVerdict;
 
 /** What a host knows of the server whose connection has ended. */
 const SERVERS = [
-  {name: 'is known', isLeaving: false},
-  {name: 'is draining', isLeaving: true, state: PresenceState.Draining},
-  {name: 'has said that it leaves', isLeaving: true, hasDeparted: true},
-  {name: 'has been removed', isLeaving: true, isRemoved: true},
-  {name: 'has a newer incarnation', isLeaving: true, isReplaced: true},
+  {name: 'is known', closed: Broken, replaced: Broken},
+  {
+    name: 'is draining',
+    state: PresenceState.Draining,
+    closed: Unproven,
+    replaced: Unproven,
+  },
+  {
+    name: 'has said that it leaves',
+    hasDeparted: true,
+    closed: Unproven,
+    replaced: Unproven,
+  },
+  {
+    name: 'has been removed',
+    isRemoved: true,
+    closed: Unproven,
+    replaced: Broken,
+  },
+  {
+    name: 'has a newer incarnation',
+    isReplaced: true,
+    closed: Broken,
+    replaced: Broken,
+  },
 ];
 
 // A server that leaves stops to listen before its last responses end.
 describe('the end of a body without a length', () => {
-  for (const {name, isLeaving, ...server} of SERVERS) {
-    for (const [listener, verdict] of [
+  for (const {name, closed, replaced, ...server} of SERVERS) {
+    for (const [listener, verdict, isEarlier] of [
       [Listening, Whole],
       [Unclear, Unproven],
-      [Closed, isLeaving ? Unproven : Broken],
+      [Closed, closed],
+      [Replaced, replaced],
+      [Replaced, Whole, true],
     ] as const) {
-      it(`is ${verdict}: the listener of a server that ${name} is ${listener}`, async () => {
+      const since = isEarlier ? ' since before the request' : '';
+      it(`is ${verdict}: the listener of a server that ${name} is ${listener}${since}`, async () => {
         const {state = PresenceState.Ready} = server;
         const backend = new Backend(createPresence({state}));
         const known = server.isReplaced
@@ -36,10 +59,11 @@
         const counted: EndVerdict[] = [];
         const destination = new BackendDestination({
           components: {
-            connections: {
-              listenerState: (asked: Backend) => {
+            processChecks: {
+              check: (asked: Backend) => {
                 assert.equal(asked, backend);
-                return Promise.resolve(listener);
+                const startedAtMs = isEarlier ? 0 : undefined;
+                return Promise.resolve({state: listener, startedAtMs});
               },
             },
             backends: {
