fix: a busy host doesn't take a closed connection for a sound listener

What callers saw: nothing yet; a part of a body could pass as whole (MIXED, ORDER) where the process crashed and the host was busy during the check of its listener.

Cause: the connection that checks the listener has to last for 100 ms, and the timer was believed before the event loop had polled. The gateway's probe also heard 'close' only, which comes a turn after 'end'.

Change: both checks poll before they believe that the connection lasted, and both read the end of the connection.

Evidence: probe_while_busy.test.ts 1 of 3, confirm_end_while_busy.test.ts 2 of 2 rows failed in three runs of three; all pass now, with listener_state (11) and confirm_end (10).

--- a/packages/gateway/src/connection/connection_pools.ts
+++ b/packages/gateway/src/connection/connection_pools.ts
@@ -1,6 +1,5 @@
 import type {Socket} from 'node:net';
-import {setImmediate} from 'node:timers/promises';
-import {sleep, type Address} from '@vanillamux/shared';
+import {pollIo, sleep, type Address} from '@vanillamux/shared';
 import type {Backend} from '../fleet/backend.js';
 import {ConnectionPool} from './connection_pool.js';
 import {connectSocket} from './connect_socket.js';
@@ -49,11 +48,12 @@
     if (socket instanceof Error) return false;
     const failed = new AbortController();
     if (socket.destroyed) failed.abort();
-    socket.on('error', () => failed.abort());
-    socket.on('close', () => failed.abort());
+    for (const event of ['error', 'end', 'close'])
+      socket.on(event, () => failed.abort());
+    socket.resume();
     await sleep(PROBE_HOLD_MS, failed.signal);
-    // A reset that arrived while this host was busy is read first.
-    await setImmediate();
+    // What arrived while this host was busy is read first.
+    await pollIo();
     const hasFailed = failed.signal.aborted;
     socket.destroy();
     return !hasFailed;
--- a/packages/shared/src/confirm_end.ts
+++ b/packages/shared/src/confirm_end.ts
@@ -1,5 +1,6 @@
 import {connect} from 'node:net';
 import type {Address} from './address.js';
+import {pollIo} from './poll_io.js';
 import {sleep} from './sleep.js';
 
 /** Time in which a host on the same network refuses a connection. */
@@ -42,6 +43,7 @@
       ),
     );
     socket.once('end', () => resolve(ConnectionState.Closed));
+    socket.resume();
   });
   const connected = new Promise<void>(resolve =>
     socket.once('connect', () => {
@@ -53,6 +55,8 @@
   const connectTimeout = sleep(CONNECT_TIMEOUT_MS, timer.signal);
   const held = Promise.race([connected, connectTimeout])
     .then(() => (isConnected ? sleep(HOLD_MS, timer.signal) : undefined))
+    // What arrived while this host was busy is read first.
+    .then(() => pollIo())
     .then(() =>
       isConnected ? ConnectionState.Open : ConnectionState.Unreachable,
     );
