fix(gateway): a relayed body without a length breaks off with its host

Cause: the plain end of a peer was always believed.

Change: the host checks whether the peer's listener is still there. A stopping peer may have closed it before its last bodies: such a body without a length breaks off too, which costs the answer of a request that may run once, but shows no part as whole.

--- a/packages/gateway/src/relay/peer_destination.ts
+++ b/packages/gateway/src/relay/peer_destination.ts
@@ -1,5 +1,6 @@
 import {monotonicMs} from '@vanillamux/shared';
 import type {ExchangeRequest} from '../connection/exchange_request.js';
+import {ListenerState} from '../connection/listener_state.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
 import {readRetryAfterMs} from '../dialect/read_retry_after_ms.js';
@@ -18,7 +19,10 @@
 
 /** Options of a `PeerDestination`. */
 export interface PeerDestinationOptions {
-  readonly components: Pick<GatewayComponents, 'dialect' | 'relayPeers'>;
+  readonly components: Pick<
+    GatewayComponents,
+    'dialect' | 'relayPeers' | 'connections'
+  >;
   /** Id of this entry host. */
   readonly hostId: string;
   readonly request: ClientRequest;
@@ -98,9 +102,17 @@
     return {outcome: AttemptOutcome.Incomplete, reason: 'not a valid response'};
   }
 
-  /** A peer gives a length to the bodies that it has found to be whole. */
-  verifyEnd(): Promise<EndVerdict> {
-    return Promise.resolve(EndVerdict.Unproven);
+  /**
+   * A peer gives a length to the bodies that it has found to be whole; one of an
+   * earlier build gives none to any. Without one, a part is all that a peer which
+   * was killed has sent.
+   */
+  async verifyEnd(): Promise<EndVerdict> {
+    const {components, decision} = this.options;
+    const state = await components.connections.listenerState(decision.backend);
+    return state === ListenerState.Closed
+      ? EndVerdict.Broken
+      : EndVerdict.Unproven;
   }
 
   /** The peer is ejected; it says nothing of backend servers. */
