fix(entry): a response that has no body is complete

What callers saw: "the service was gone at the end of its response" for HEAD, 204 and 304 of a service that ended right after them (LOST): an outcome that is unknown although the whole response had arrived.

Cause: ServiceClient took every response without a length or chunks for one whose body ends with its connection.

Change: `hasBody` of the gateway moves to shared, and ServiceClient asks it.

--- a/packages/entry/src/service_client.ts
+++ b/packages/entry/src/service_client.ts
@@ -4,6 +4,7 @@
   confirmEnd,
   ErrorCodes,
   fail,
+  hasBody,
   RunState,
   succeed,
   VmuxError,
@@ -82,7 +83,9 @@
       );
       const result = await readResponse(response);
       // A crash ends a connection like the end of a body without a length.
-      if (isFramed(response) || !(await confirmEnd(address))) return result;
+      const isProven =
+        isFramed(response) || !hasBody(call.method, response.statusCode);
+      if (isProven || !(await confirmEnd(address))) return result;
       const message = 'the service was gone at the end of its response';
       const options = {message, ran: RunState.Unknown};
       return fail(new VmuxError(ErrorCodes.BackendFailed, options));
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -1,4 +1,4 @@
-import {monotonicMs} from '@vanillamux/shared';
+import {hasBody, monotonicMs} from '@vanillamux/shared';
 import type {ByteHold} from '../bytes/byte_hold.js';
 import type {ResponseHead} from '../connection/response_head.js';
 import type {Exchange} from '../connection/exchange.js';
@@ -13,7 +13,6 @@
 import type {Destination} from './destination.js';
 import {EndVerdict} from './end_verdict.js';
 import type {GatewayComponents} from './gateway_components.js';
-import {hasBody} from './has_body.js';
 import type {PlacementClaim} from './placement_claim.js';
 import type {ReceivedBody} from './received_body.js';
 import type {ResponseWriter} from './response_writer.js';
@@ -166,7 +165,7 @@
 
   /** Finds out whether a body is whole whose connection has ended in order. */
   protected async verifyEnd(head: ResponseHead): Promise<EndVerdict> {
-    if (isFramed(head) || !hasBody(this.request.req.method, head))
+    if (isFramed(head) || !hasBody(this.request.req.method, head.status))
       return EndVerdict.Whole;
     return this.options.destination.verifyEnd();
   }
--- a/packages/gateway/src/request/response_writer.ts
+++ b/packages/gateway/src/request/response_writer.ts
@@ -1,8 +1,8 @@
 import type {ServerResponse} from 'node:http';
 import {once} from 'node:events';
+import {hasBody} from '@vanillamux/shared';
 import type {ResponseHead} from '../connection/response_head.js';
 import {endToEndHeaders} from '../dialect/end_to_end_headers.js';
-import {hasBody} from './has_body.js';
 import type {ReceivedBody} from './received_body.js';
 
 /** Time in which a client may read what was written before an abort. */
@@ -33,7 +33,7 @@
     {bytes, isProvenWhole}: ReceivedBody,
   ): void {
     const headers = endToEndHeaders(head.rawHeaders);
-    const mayHaveBody = hasBody(this.res.req.method, head);
+    const mayHaveBody = hasBody(this.res.req.method, head.status);
     const isDelimited = !mayHaveBody || isProvenWhole;
     if (mayHaveBody && isDelimited)
       headers.push('Content-Length', String(bytes.length));
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -16,6 +16,7 @@
 export {formatAddress} from './format_address.js';
 export {flushOutput} from './flush_output.js';
 export {getLogger} from './get_logger.js';
+export {hasBody} from './has_body.js';
 export {HybridClock} from './hybrid_clock.js';
 export {invariant} from './invariant.js';
 export {listen} from './listen.js';
