fix: refuse request bodies with a transfer coding other than chunked

What callers saw: a request with "Transfer-Encoding: gzip, chunked" was run with the encoded bytes as its body and without the field that says so.

Cause: Node.js removes the chunks and leaves other codings to the application; the field concerns one connection only and is not passed on.

--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -46,6 +46,10 @@
 
 /** Responses to requests whose body was not read whole; none has run. */
 const BODY_REFUSALS: ReadonlyMap<ErrorCodes, ErrorResponse> = new Map([
+  [
+    ErrorCodes.BadRequest,
+    {status: 501, reason: 'no transfer coding but `chunked` is supported'},
+  ],
   [
     ErrorCodes.BodyTooLarge,
     {status: 413, reason: 'the body is larger than the limit'},
--- a/packages/shared/src/find_head_fault.ts
+++ b/packages/shared/src/find_head_fault.ts
@@ -1,4 +1,5 @@
 import type {IncomingHttpHeaders} from 'node:http';
+import {isChunked} from './is_chunked.js';
 
 /** Characters that a reason phrase can't hold (RFC 9112, section 4). */
 const NOT_REASON_PHRASE = /[^\t\x20-\x7e\u0080-\uffff]/;
@@ -25,9 +26,3 @@
   if (coding === undefined || isChunked(coding)) return undefined;
   return `transfer coding ${JSON.stringify(coding)}`;
 }
-
-function isChunked(coding: string | readonly string[]): boolean {
-  return (
-    typeof coding === 'string' && coding.trim().toLowerCase() === 'chunked'
-  );
-}
--- a/packages/shared/src/read_body.ts
+++ b/packages/shared/src/read_body.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage} from 'node:http';
 import {ErrorCodes} from './error_codes.js';
 import {fail} from './fail.js';
+import {isChunked} from './is_chunked.js';
 import type {Result} from './result.js';
 import {succeed} from './succeed.js';
 import {VmuxError} from './vmux_error.js';
@@ -22,8 +23,8 @@
 
 /**
  * Reads the whole body of a request. Fails with `BodyTooLarge` when it is
- * larger than `maxBytes`, and with `Overloaded` when there is no room for it, but
- * only after the client has sent the whole body or `MAX_DISCARDED_BYTES` beyond
+ * larger than `maxBytes`, with `Overloaded` when there is no room for it, and with
+ * `BadRequest` when it has a transfer coding other than `chunked`, but only after the client has sent the whole body or `MAX_DISCARDED_BYTES` beyond
  * the limit; what arrives by then is not kept. Fails with `Timeout` when the
  * body takes too long, and with `Cancelled` when the client disconnects before
  * the end.
@@ -38,7 +39,7 @@
   return new Promise(resolvePromise => {
     let chunks: Buffer[] = [];
     let size = 0;
-    let refusal: Result<Buffer> | undefined;
+    let refusal = checkCoding(req);
     const timer =
       timeoutMs === undefined
         ? undefined
@@ -71,3 +72,11 @@
     if (req.destroyed && !req.complete) onDisconnect();
   });
 }
+
+/** Node.js removes the chunks of an encoded body, and no other coding. */
+function checkCoding({headers}: IncomingMessage): Result<Buffer> | undefined {
+  const coding = headers['transfer-encoding'];
+  if (coding === undefined || isChunked(coding)) return undefined;
+  const message = `transfer coding ${JSON.stringify(coding)} is not supported`;
+  return fail(new VmuxError(ErrorCodes.BadRequest, {message}));
+}
