fix(fleet): ApiClient takes no part of a response for the whole

What callers saw: nothing; the client of the load generator and of the tests counted a stream that broke off, and a body that was reset, as served (LOST could stay unseen).

Cause: it read what came and never asked whether it was all.

Change: a chat without its last event, and without an error event, throws; so does a response of which only the end of the connection tells that it is whole. Hosts of this system frame every response.

--- a/packages/fleet/src/api_client.ts
+++ b/packages/fleet/src/api_client.ts
@@ -1,5 +1,5 @@
 import type {Address} from '@vanillamux/shared';
-import {monotonicMs} from '@vanillamux/shared';
+import {hasBody, monotonicMs} from '@vanillamux/shared';
 import {Agent, request, type Dispatcher} from 'undici';
 
 /** Parameters of a streaming chat request. */
@@ -35,6 +35,7 @@
 }
 
 const DATA_FIELD_PREFIX = 'data: ';
+const LAST_EVENT = '[DONE]';
 
 /** HTTP client of one server, for tests, the quickstart and load generation. */
 export class ApiClient {
@@ -46,7 +47,10 @@
 
   constructor(private readonly server: Address) {}
 
-  /** Sends a streaming chat request and reads the whole response. */
+  /**
+   * Sends a streaming chat request and reads the whole response. Throws if it
+   * ends without its last event or an error event.
+   */
   async chat(chatRequest: ChatRequest): Promise<CallOutcome> {
     const startedMs = monotonicMs();
     const response = await this.send(
@@ -68,6 +72,7 @@
     let timeToFirstTokenMs: number | undefined;
     let errorCode: string | undefined;
     let buffer = '';
+    let isWhole = false;
     for await (const chunk of response.body as AsyncIterable<Buffer>) {
       buffer += chunk.toString('utf8');
       const events = buffer.split('\n\n');
@@ -75,7 +80,10 @@
       for (const eventText of events) {
         if (!eventText.startsWith(DATA_FIELD_PREFIX)) continue;
         const data = eventText.slice(DATA_FIELD_PREFIX.length);
-        if (data === '[DONE]') continue;
+        if (data === LAST_EVENT) {
+          isWhole = true;
+          continue;
+        }
         const event = JSON.parse(data) as StreamEvent;
         errorCode ??= event.error?.code;
         const content = event.choices?.[0]?.delta?.content;
@@ -85,6 +93,8 @@
         outputTokens++;
       }
     }
+    if (!isWhole && errorCode === undefined)
+      throw new Error('the stream ended without its last event');
     return {
       ...summarizeResponse(response, startedMs),
       text,
@@ -94,7 +104,10 @@
     };
   }
 
-  /** Sends a request and reads the whole response. */
+  /**
+   * Sends a request and reads the whole response. Throws if the end of the
+   * connection delimits it, as a reset may look like that.
+   */
   async call(
     path: string,
     method: Dispatcher.HttpMethod,
@@ -103,6 +116,8 @@
   ): Promise<CallOutcome> {
     const startedMs = monotonicMs();
     const response = await this.send(path, method, headers, body);
+    if (!isFramed(method, response))
+      throw new Error('nothing tells whether the response is whole');
     return readFullResponse(response, startedMs);
   }
 
@@ -128,6 +143,17 @@
   }
 }
 
+function isFramed(
+  method: Dispatcher.HttpMethod,
+  {statusCode, headers}: Dispatcher.ResponseData,
+): boolean {
+  return (
+    !hasBody(method, statusCode) ||
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 async function readFullResponse(
   response: Dispatcher.ResponseData,
   startedMs: number,
