--- a/packages/gateway/__tests__/gateway_metrics.test.ts
+++ b/packages/gateway/__tests__/gateway_metrics.test.ts
@@ -3,12 +3,12 @@
 import {fileURLToPath} from 'node:url';
 import {describe, it} from 'node:test';
 import {PresenceState} from '@vanillamux/protocol';
+import {UnansweredReason} from '@vanillamux/shared';
 import {RefusalReason} from '../src/admission/refusal_reason.js';
 import {AttemptOutcome} from '../src/request/attempt_outcome.js';
 import {PermitVerdict} from '../src/request_limits/permit_verdict.js';
 import {EndVerdict} from '../src/request/end_verdict.js';
 import {GatewayMetrics} from '../src/server/gateway_metrics.js';
-import {UnansweredReason} from '../src/server/unanswered_reason.js';
 import {createRoute} from './create_config.js';
 
 const PAGE = fileURLToPath(
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -6,6 +6,8 @@
   PublishedDocument,
 } from '@vanillamux/protocol';
 import {
+  acceptArrived,
+  ClientServer,
   getLogger,
   HybridClock,
   listen,
@@ -51,7 +53,6 @@
 import {RequestRecorder} from '../request/request_recorder.js';
 import {SharedRetryBudget} from '../request/shared_retry_budget.js';
 import {StopGate} from '../request/stop_gate.js';
-import {ClientServer} from './client_server.js';
 import {createProbeServer} from './create_probe_server.js';
 import type {GatewayGauges} from './gateway_gauges.js';
 import {GatewayMetrics} from './gateway_metrics.js';
@@ -63,8 +64,6 @@
 /** Time before the kill by which the process has to have exited. */
 const EXIT_MARGIN_MS = 600;
 const DRAIN_CHECK_INTERVAL_MS = 50;
-/** Connections that the system holds until they are accepted, as Node.js asks. */
-const LISTEN_BACKLOG = 511;
 /** Time in which clients receive the error responses of cut requests. */
 const CUT_TIMEOUT_MS = 100;
 /** Time before the kill that is left to flush the log and to exit. */
@@ -295,7 +294,7 @@
     log.info('Draining.', this.openCounts());
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.stopGate.close(killMs - EXIT_MARGIN_MS);
-    await this.acceptArrived();
+    await acceptArrived(this.servers);
     for (const server of this.servers) server.close();
     await this.drainUntil(killMs - EXIT_MARGIN_MS);
     log.info('Stopped.', this.openCounts());
@@ -371,23 +370,6 @@
     this.factSync.onPeers(peers.length - 1);
   }
 
-  /**
-   * Accepts the connections that have arrived and reads what was sent on them.
-   * libuv accepts one in each poll, and the end of a listener resets the others.
-   */
-  private async acceptArrived(): Promise<void> {
-    for (let round = 0; round < LISTEN_BACKLOG; round++) {
-      const {acceptedCount} = this;
-      await pollIo();
-      if (this.acceptedCount === acceptedCount) return;
-    }
-  }
-
-  private get acceptedCount(): number {
-    const counts = this.servers.map(({acceptedCount}) => acceptedCount);
-    return counts.reduce((sum, count) => sum + count, 0);
-  }
-
   /**
    * Waits until every connection is closed, so that nothing more can be read, at
    * most until `endMs`. A connection closes once no request is in progress on
--- a/packages/gateway/src/server/gateway_metrics.ts
+++ b/packages/gateway/src/server/gateway_metrics.ts
@@ -1,4 +1,5 @@
 import {addGauge} from '@vanillamux/control';
+import type {UnansweredReason} from '@vanillamux/shared';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import {RefusalReason} from '../admission/refusal_reason.js';
 import type {RouteSpec} from '../config/route_spec.js';
@@ -9,7 +10,6 @@
 import type {EndVerdict} from '../request/end_verdict.js';
 import type {SilenceVerdict} from '../request/silence_verdict.js';
 import type {GatewayGauges} from './gateway_gauges.js';
-import type {UnansweredReason} from './unanswered_reason.js';
 
 const MS_PER_SECOND = 1_000;
 const DURATION_BUCKETS_S = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 3, 5, 10, 15];
--- a/packages/gateway/src/server/unanswered_reporter.ts
+++ b/packages/gateway/src/server/unanswered_reporter.ts
@@ -1,8 +1,7 @@
 import type {IncomingMessage} from 'node:http';
-import {getLogger} from '@vanillamux/shared';
+import {getLogger, type UnansweredRequest} from '@vanillamux/shared';
 import type {Dialect} from '../dialect/dialect.js';
 import type {GatewayMetrics} from './gateway_metrics.js';
-import type {UnansweredRequest} from './unanswered_request.js';
 
 const log = getLogger('gateway');
 
--- a/packages/gateway/__tests__/client_server.test.ts
+++ b/packages/shared/__tests__/client_server.test.ts
@@ -3,7 +3,7 @@
 import type {ServerResponse} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, beforeEach, describe, it} from 'node:test';
-import {ClientServer} from '../src/server/client_server.js';
+import {ClientServer} from '../src/client_server.js';
 
 /** Larger than the buffers of both sockets of a connection. */
 const LARGE_BODY = Buffer.alloc(32 * 1_024 * 1_024);
--- a/packages/gateway/src/server/client_server.ts
+++ b/packages/shared/src/client_server.ts
@@ -5,7 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 import type {Socket} from 'node:net';
-import {monotonicMs} from '@vanillamux/shared';
+import {monotonicMs} from './monotonic_ms.js';
 import {UnansweredReason} from './unanswered_reason.js';
 import type {UnansweredRequest} from './unanswered_request.js';
 
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -1,7 +1,9 @@
+export {acceptArrived} from './accept_arrived.js';
 export {type Address} from './address.js';
 export {addressSchema} from './address_schema.js';
 export {destinationSchema} from './destination_schema.js';
 export {RingBuffer} from './ring_buffer.js';
+export {ClientServer} from './client_server.js';
 export {confirmEnd} from './confirm_end.js';
 export {configureLogging, type LoggingOptions} from './configure_logging.js';
 export {Deferred} from './deferred.js';
@@ -43,6 +45,8 @@
 export {succeed} from './succeed.js';
 export {Timeline, type TimelineOptions} from './timeline.js';
 export {type TimelineEvent} from './timeline_event.js';
+export {UnansweredReason} from './unanswered_reason.js';
+export {type UnansweredRequest} from './unanswered_request.js';
 export {VERSION} from './version.js';
 export {
   VmuxError,
