fix(entry): a stop reads what has arrived before it closes connections

What callers saw (LOST): requests that arrived while an entry host of the product's own server was held up, at the end of its drain notice, got a reset instead of an answer.

Cause: `EntryServer.stop` closed the listener and the idle connections from a timer. The event loop calls timers that are due before it polls, so a connection counted as idle whose next request was waiting to be read. And libuv accepts one connection in each poll; the end of a listener resets the others that wait.

Change: the stop accepts and reads what has arrived first, as the gateway does, and then closes each connection once no request is in progress on it. `ClientServer` counts them, in place of `ResponseTracker`.

--- a/packages/entry/src/create_caller_server.ts
+++ b/packages/entry/src/create_caller_server.ts
@@ -1,6 +1,10 @@
-import {createServer, type IncomingMessage, type Server} from 'node:http';
-import type {ServerResponse} from 'node:http';
-import {ErrorCodes, getLogger, VmuxError} from '@vanillamux/shared';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {
+  ClientServer,
+  ErrorCodes,
+  getLogger,
+  VmuxError,
+} from '@vanillamux/shared';
 import type {EntryHost} from './entry_host.js';
 import {sendError} from './send_error.js';
 
@@ -11,8 +15,8 @@
 const log = getLogger('http');
 
 /** Creates the public HTTP server, which callers send requests to. */
-export function createCallerServer(host: EntryHost): Server {
-  const server = createServer(
+export function createCallerServer(host: EntryHost): ClientServer {
+  return new ClientServer(
     {
       headersTimeout: HEADERS_TIMEOUT_MS,
       requestTimeout: REQUEST_TIMEOUT_MS,
@@ -25,7 +29,6 @@
       });
     },
   );
-  return server;
 }
 
 async function handleRequest(
--- a/packages/entry/src/entry_server.ts
+++ b/packages/entry/src/entry_server.ts
@@ -1,10 +1,14 @@
 import type {Server} from 'node:http';
 import {serveRpc} from '@vanillamux/rpc';
 import {
+  acceptArrived,
   getLogger,
   listen,
+  monotonicMs,
+  pollIo,
   sleep,
   succeed,
+  type ClientServer,
   type Result,
 } from '@vanillamux/shared';
 import {BlockHasher} from './block_hasher.js';
@@ -13,13 +17,13 @@
 import {EntryHost} from './entry_host.js';
 import {createEntryRouter} from './entry_router.js';
 import type {EntrySettings} from './entry_settings.js';
-import {ResponseTracker} from './response_tracker.js';
 
 /**
  * Time for the last responses after the deadlines of their requests; settling
  * an outcome takes up to 3 s of it.
  */
 const RESPONSE_TIMEOUT_MS = 5_000;
+const CLOSE_INTERVAL_MS = 20;
 
 const log = getLogger('entry');
 
@@ -27,8 +31,7 @@
 export class EntryServer {
   private constructor(
     readonly host: EntryHost,
-    private readonly callerServer: Server,
-    private readonly responses: ResponseTracker,
+    private readonly callerServer: ClientServer,
     private readonly internalServer: Server,
     private readonly closeRpc: () => void,
   ) {}
@@ -37,7 +40,6 @@
   static async start(settings: EntrySettings): Promise<Result<EntryServer>> {
     const host = new EntryHost(settings, await BlockHasher.create());
     const callerServer = createCallerServer(host);
-    const responses = new ResponseTracker(callerServer);
     const internalServer = createInternalServer(host);
     const closeRpc = serveRpc(internalServer, createEntryRouter(host));
     const internalPort = await listen(internalServer, settings.internal);
@@ -50,7 +52,7 @@
       internal: internalPort.value,
     });
     return succeed(
-      new EntryServer(host, callerServer, responses, internalServer, closeRpc),
+      new EntryServer(host, callerServer, internalServer, closeRpc),
     );
   }
 
@@ -59,17 +61,33 @@
    * deadlines, and their responses have been written.
    */
   async stop(): Promise<void> {
-    const {host} = this;
+    const {host, callerServer} = this;
     host.beginDrain();
     await sleep(host.settings.drainNoticeMs);
-    this.callerServer.close();
-    this.callerServer.closeIdleConnections();
+    await acceptArrived([callerServer]);
+    callerServer.close();
     await host.waitForDrain();
-    await this.responses.waitUntilWritten(RESPONSE_TIMEOUT_MS);
+    await this.closeIdleConnections();
     await host.close();
     this.closeRpc();
     this.internalServer.close();
     this.internalServer.closeAllConnections();
-    this.callerServer.closeAllConnections();
+    callerServer.closeAllConnections();
+  }
+
+  /**
+   * Closes each connection once no request is in progress on it, of which a part
+   * may have arrived.
+   */
+  private async closeIdleConnections(): Promise<void> {
+    const {callerServer} = this;
+    const endMs = monotonicMs() + RESPONSE_TIMEOUT_MS;
+    await pollIo();
+    callerServer.closeIdleConnections();
+    while (callerServer.connectionCount > 0 && monotonicMs() < endMs) {
+      await sleep(CLOSE_INTERVAL_MS);
+      await pollIo();
+      callerServer.closeIdleConnections();
+    }
   }
 }
