fix(entry): a draining host says that its connections close

What callers saw (LOST): a client that kept its connection to an entry host of the product's own server was not told that it closes. Its next request met the close at the end of the drain notice and got no answer.

Cause: `EntryServer` sent no `Connection: close` while it drained.

Change: once `ClientServer` drains, the last response on each connection says that it closes, also one to a request in progress. If the client has sent another request before that head is written, that one is answered first and its response says it; what comes after such a head is not handled (RFC 9112, section 9.6), so that nothing runs without an answer.

--- a/packages/entry/src/entry_server.ts
+++ b/packages/entry/src/entry_server.ts
@@ -63,6 +63,7 @@
   async stop(): Promise<void> {
     const {host, callerServer} = this;
     host.beginDrain();
+    callerServer.startDraining();
     await sleep(host.settings.drainNoticeMs);
     await acceptArrived([callerServer]);
     callerServer.close();
--- a/packages/shared/src/client_server.ts
+++ b/packages/shared/src/client_server.ts
@@ -18,6 +18,8 @@
   readonly pendingResponses: Map<ServerResponse, number>;
   /** Bytes that had been read when the last response was handed over. */
   bytesRead: number;
+  /** Response that says that the connection closes, as the server drains. */
+  lastResponse?: ServerResponse;
   /** Why the connection ends, once that is known. */
   endReason?: UnansweredReason;
 }
@@ -30,6 +32,7 @@
 export class ClientServer extends Server {
   private readonly states = new Map<Socket, ConnectionState>();
   private accepted = 0;
+  private isDraining = false;
 
   constructor(
     options: ServerOptions,
@@ -38,9 +41,10 @@
       unanswered: UnansweredRequest,
     ) => void = () => undefined,
   ) {
-    super(options, listener);
+    super(options, (req, res) => {
+      if (this.track(req.socket, res)) listener(req, res);
+    });
     this.on('connection', socket => this.add(socket));
-    this.on('request', (req, res) => this.track(req.socket, res));
   }
 
   /** Number of connections accepted since the start. */
@@ -53,6 +57,18 @@
     return this.states.size;
   }
 
+  /**
+   * From now on, the last response on each connection says that it closes. Node.js
+   * closes it after that response.
+   */
+  startDraining(): void {
+    this.isDraining = true;
+    for (const state of this.states.values()) {
+      const last = [...state.pendingResponses.keys()].at(-1);
+      if (last) announceClose(state, last);
+    }
+  }
+
   /**
    * Closes the connections on which no request is in progress, also those that
    * had none yet: a request that arrives later is not read. Also called by
@@ -80,14 +96,21 @@
     }
   }
 
-  private track(socket: Socket, res: ServerResponse): void {
+  /**
+   * Tracks a response. Returns whether to handle the request: not if the client
+   * has been told before that the connection closes (RFC 9112, section 9.6).
+   */
+  private track(socket: Socket, res: ServerResponse): boolean {
     const state = this.states.get(socket);
-    if (!state) return;
+    if (!state) return false;
     state.pendingResponses.set(res, monotonicMs());
     res.once('close', () => {
       this.settle(state, res);
       state.bytesRead = socket.bytesRead;
     });
+    if (state.lastResponse?.headersSent) return false;
+    if (this.isDraining) announceClose(state, res);
+    return true;
   }
 
   private add(socket: Socket): void {
@@ -123,3 +146,12 @@
     });
   }
 }
+
+/** Makes the head of `res` say that the connection closes, unless it was sent. */
+function announceClose(state: ConnectionState, res: ServerResponse): void {
+  if (res.headersSent) return;
+  // The response before that one has not been sent, and need not be the last.
+  if (state.lastResponse) state.lastResponse.shouldKeepAlive = true;
+  state.lastResponse = res;
+  res.shouldKeepAlive = false;
+}
