fix(gateway): error responses of a draining host say that the connection closes

What callers saw (LOST): a request was in progress when a stop began and ended with an error of the host, such as a 504. The client was not told that its connection closes, and lost the request that it sent next. A client that sends a second request before the first is answered lost the second one.

Cause: the gateway decided at the start of a request and in `ResponseWriter`, but not in error responses to requests from before the drain; and it announced the close in the first response also where another request had been read.

Change: `ClientServer` decides for all responses, the last one on each connection.

--- a/packages/gateway/__tests__/record_capacity.test.ts
+++ b/packages/gateway/__tests__/record_capacity.test.ts
@@ -48,7 +48,6 @@
       configStore: {waitForFirst: async () => table, version: 1},
       factSync: {isSynced: true},
       firstContact: {wait: () => Promise.resolve()},
-      isDraining: () => false,
       requestRecorder: new RequestRecorder(recorder),
       metrics: new GatewayMetrics(),
     } as unknown as GatewayComponents;
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -191,7 +191,6 @@
     requestBytes: new ByteBudget(4 * LARGE_BODY.length),
     responseBytes: new ByteBudget(4 * LARGE_BODY.length),
     stopGate: new StopGate(),
-    isDraining: () => false,
   };
   return {...components, ...overrides} as unknown as GatewayComponents;
 }
--- a/packages/gateway/__tests__/request_runner.test.ts
+++ b/packages/gateway/__tests__/request_runner.test.ts
@@ -90,7 +90,6 @@
     dialect: {writeRequest: () => [], writeResponse: () => ({})},
     connections: {poolFor: () => ({send: createSilentExchange})},
     stopGate: new StopGate(),
-    isDraining: () => false,
   };
   return {...components, ...overrides} as unknown as GatewayComponents;
 }
--- a/packages/gateway/src/request/gateway_components.ts
+++ b/packages/gateway/src/request/gateway_components.ts
@@ -55,6 +55,4 @@
   readonly metrics: GatewayMetrics;
   /** Requests that a host takes that is about to stop. */
   readonly stopGate: StopGate;
-  /** Whether the host is draining before it stops. */
-  readonly isDraining: () => boolean;
 }
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -146,7 +146,6 @@
   ): Promise<void> {
     const startedMs = monotonicMs();
     const {components} = this;
-    if (components.isDraining()) res.shouldKeepAlive = false;
     const metadata = components.dialect.readRequest(req.headers);
     const refuse = (response: ErrorResponse): void =>
       this.refuse(res, metadata, response, relay);
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -91,7 +91,7 @@
     private readonly components: GatewayComponents,
     private readonly request: ClientRequest,
   ) {
-    this.writer = new ResponseWriter(request.res, components.isDraining);
+    this.writer = new ResponseWriter(request.res);
     this.progress = {lastEventId: request.metadata.lastEventId, events: 0};
     this.reporter = new RequestReporter(components, request, this.progress);
     this.planLimit = new PlanLimit(components.dialect.maxHelperEntries);
--- a/packages/gateway/src/request/response_writer.ts
+++ b/packages/gateway/src/request/response_writer.ts
@@ -14,10 +14,7 @@
 const RESET_DELAY_MS = 20;
 /** Writes the response of a backend server to the client. */
 export class ResponseWriter {
-  constructor(
-    private readonly res: ServerResponse,
-    private readonly isDraining: () => boolean,
-  ) {}
+  constructor(private readonly res: ServerResponse) {}
 
   /** Whether the response head was written. */
   get hasSentHead(): boolean {
@@ -100,7 +97,7 @@
   }
 
   private addConnectionHeader(headers: string[], isFramed: boolean): string[] {
-    if (this.isDraining() || !isFramed) headers.push('Connection', 'close');
+    if (!isFramed) headers.push('Connection', 'close');
     return headers;
   }
 }
--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -291,6 +291,7 @@
     const graceMs = graceS * MS_PER_SECOND;
     const killMs = monotonicMs() + graceMs;
     this.readiness.startDraining();
+    for (const server of this.servers) server.startDraining();
     log.info('Draining.', this.openCounts());
     await sleep(Math.min(drainNoticeMs, graceMs - EXIT_MARGIN_MS));
     this.stopGate.close(killMs - EXIT_MARGIN_MS);
@@ -476,7 +477,6 @@
       factSync: this.factSync,
       metrics: this.metrics,
       stopGate: this.stopGate,
-      isDraining: () => this.readiness.draining,
     };
   }
 
