fix(shared): a client that was not told of the close gets an answer to its next request

What callers saw (LOST): a stream that had begun before a stop ended during it. Its head said that the connection stays, so that the client sent its next request on it, and got a reset. Both the gateway and the product's own server.

Cause: a drained connection was closed as idle within 50 ms (gateway) or 20 ms (entry) after its response, sooner than a client's next request may arrive.

Evidence, before: a request 80 ms after the end of such a stream got no answer in platform/__tests__/announced_close.test.ts (1 row) and packages/fleet/__tests__/stop_connections.test.ts (1 of 1); the row 'may send a request until it is told' of drained_connections.test.ts failed as well.

Change: while `ClientServer` drains, a connection whose last response was handed over less than 200 ms ago is not closed as idle. A request that arrives by then gets its answer, which says that the connection closes. A stop lasts up to 200 ms longer after such a stream, within the grace time.

--- a/packages/shared/__tests__/drained_connections.test.ts
+++ b/packages/shared/__tests__/drained_connections.test.ts
@@ -19,6 +19,7 @@
   readonly begin: (path: string) => void;
   /** Ends a response, and waits until the client has it. */
   readonly end: (path: string) => Promise<void>;
+  readonly closeIdle: () => void;
 }
 
 interface Case {
@@ -73,6 +74,20 @@
     expected: ['keep-alive', 'close'],
     handled: ['/a', '/b'],
   },
+  {
+    name: 'may send a request until it is told',
+    run: async ({send, drain, begin, end, closeIdle}) => {
+      await send('/a');
+      begin('/a');
+      drain();
+      await end('/a');
+      closeIdle();
+      await send('/b');
+      await end('/b');
+    },
+    expected: ['keep-alive', 'close'],
+    handled: ['/a', '/b'],
+  },
   {
     name: 'has no later request handled once it is told',
     run: async ({send, drain, begin, end}) => {
@@ -120,6 +135,7 @@
         responses.get(path)!.end(path);
         await once(socket, 'data');
       },
+      closeIdle: () => server.closeIdleConnections(),
     };
   }
 
--- a/packages/shared/src/client_server.ts
+++ b/packages/shared/src/client_server.ts
@@ -9,6 +9,12 @@
 import {UnansweredReason} from './unanswered_reason.js';
 import type {UnansweredRequest} from './unanswered_request.js';
 
+/**
+ * Time in which a client that has got a response may send another request before
+ * it learns that the connection closes: a round trip between regions.
+ */
+const CLOSE_DELAY_MS = 200;
+
 /** State of one connection. */
 interface ConnectionState {
   /**
@@ -18,6 +24,8 @@
   readonly pendingResponses: Map<ServerResponse, number>;
   /** Bytes that had been read when the last response was handed over. */
   bytesRead: number;
+  /** When the last response was handed over. */
+  respondedMs: number;
   /** Response that says that the connection closes, as the server drains. */
   lastResponse?: ServerResponse;
   /** Why the connection ends, once that is known. */
@@ -71,15 +79,20 @@
 
   /**
    * Closes the connections on which no request is in progress, also those that
-   * had none yet: a request that arrives later is not read. Also called by
-   * `close()`.
+   * had none yet: a request that arrives later is not read. While the server
+   * drains, spares those whose last response was handed over a moment ago and did
+   * not say that the connection closes. Also called by `close()`.
    */
   override closeIdleConnections(): void {
-    for (const [socket, {pendingResponses, bytesRead}] of this.states) {
+    const nowMs = monotonicMs();
+    for (const [socket, state] of this.states) {
+      const {pendingResponses, bytesRead, respondedMs} = state;
       // Bytes that were read since then belong to another request.
       const isIdle =
         pendingResponses.size === 0 && socket.bytesRead === bytesRead;
-      if (isIdle) socket.destroy();
+      const mayGetRequest =
+        this.isDraining && nowMs - respondedMs < CLOSE_DELAY_MS;
+      if (isIdle && !mayGetRequest) socket.destroy();
     }
   }
 
@@ -107,6 +120,7 @@
     res.once('close', () => {
       this.settle(state, res);
       state.bytesRead = socket.bytesRead;
+      state.respondedMs = monotonicMs();
     });
     if (state.lastResponse?.headersSent) return false;
     if (this.isDraining) announceClose(state, res);
@@ -117,6 +131,7 @@
     const state: ConnectionState = {
       pendingResponses: new Map(),
       bytesRead: 0,
+      respondedMs: -Infinity,
     };
     this.states.set(socket, state);
     this.accepted++;
