fix(entry): an engine's connection that ends while a caller is slow does not end the process

What callers saw (LOST): an entry host of the product's own server ended by an uncaught assertion, with every request on it, when an engine closed its connection while the host waited for a slow caller. A whole stream on a connection to keep failed; a part of one without a length that was reset looked complete.

Cause: the undici client asserts that its parser isn't paused when a connection ends with its response. The pooled engine client paused it above 64 KiB of unread bytes and did not know which call a connection belongs to, so that it could not resume it.

Change: `CheckedClient`, one connection, knows the `ResponseCheck` of its call, resumes it before the end reaches undici and tells it of a reset.

--- a/packages/entry/src/engine_client.ts
+++ b/packages/entry/src/engine_client.ts
@@ -13,12 +13,11 @@
   type Result,
   type VmuxErrorBody,
 } from '@vanillamux/shared';
-import {Agent, request, type Dispatcher} from 'undici';
-import {createLimitedConnector} from './create_limited_connector.js';
-import {ResponseCheck} from './response_check.js';
+import {Agent, Pool, request, type Dispatcher} from 'undici';
+import {checkResponses} from './check_responses.js';
+import {CheckedClient} from './checked_client.js';
 import {splitLines} from './split_lines.js';
 
-const CONNECT_TIMEOUT_MS = 1_000;
 const CANCEL_TIMEOUT_MS = 1_500;
 /** Largest body of an error response; those of engines are under 1 KB. */
 const MAX_ERROR_BODY_BYTES = 64 * 1_024;
@@ -44,18 +43,16 @@
 /** Calls engines over HTTP. */
 export class EngineClient {
   private readonly agent = new Agent({
-    connect: createLimitedConnector(CONNECT_TIMEOUT_MS),
     connections: MAX_CONNECTIONS_PER_ENGINE,
-    // The caller's signal bounds a call; reads of frames have their own timeout.
-    headersTimeout: 0,
-    bodyTimeout: 0,
     // The peer of an idle pooled connection may have stopped responding.
     keepAliveTimeout: 4_000,
+    factory: (origin, options) =>
+      new Pool(origin, {
+        ...options,
+        factory: (url, clientOptions) => new CheckedClient(url, clientOptions),
+      }),
   });
-  private readonly dispatcher = this.agent.compose(
-    dispatch => (options, handler) =>
-      dispatch(options, new ResponseCheck(handler)),
-  );
+  private readonly dispatcher = this.agent.compose(checkResponses);
 
   /** Starts an attempt and returns its frames. */
   generate(
--- a/packages/entry/src/response_check.ts
+++ b/packages/entry/src/response_check.ts
@@ -9,11 +9,14 @@
  */
 export class ResponseCheck implements Dispatcher.DispatchHandler {
   private controller?: Dispatcher.DispatchController;
+  private wasReset = false;
 
-  constructor(
-    private readonly handler: Dispatcher.DispatchHandler,
-    private readonly wasReset: () => boolean = () => false,
-  ) {}
+  constructor(private readonly handler: Dispatcher.DispatchHandler) {}
+
+  /** Called when the connection was reset, before the undici client reads it. */
+  reset(): void {
+    this.wasReset = true;
+  }
 
   /**
    * Called at the end of the connection, before the undici client reads it, which
@@ -28,6 +31,8 @@
     context: unknown,
   ): void {
     this.controller = controller;
+    // What was reset before was an idle connection, which another one replaced.
+    this.wasReset = false;
     this.handler.onRequestStart?.(controller, context);
   }
 
@@ -54,7 +59,7 @@
     controller: Dispatcher.DispatchController,
     trailers: IncomingHttpHeaders,
   ): void {
-    if (this.wasReset())
+    if (this.wasReset)
       this.onResponseError(controller, new errors.SocketError('reset'));
     else this.handler.onResponseEnd?.(controller, trailers);
   }
