fix(gateway): a malformed head is a sign that the server is within reach

What callers saw: not measured; by reading, a host whose service has one backend server (or three) that send malformed heads took itself to be cut off from the service, and sent requests by way of other hosts, to the same servers.

Cause: every attempt that failed without a head was counted as one without contact. A head of status 000 was also left to an assertion of the undici client.

Change: the error of an exchange says whether a head has come, sound or not. findHeadFault refuses statuses below 100 as well.

Evidence: malformed_answer.test.ts: 3 of 6 rows fail without the order of the two calls in Exchange.cancel, 1 without the status; all pass, and the gateway's tests.

--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -6,7 +6,7 @@
   succeed,
   type Result,
 } from '@vanillamux/shared';
-import type {Dispatcher} from 'undici';
+import {errors, type Dispatcher} from 'undici';
 import type {ResponseHead} from './response_head.js';
 import type {Connection} from './connection.js';
 import {ExchangeError, type ExchangeErrorOptions} from './exchange_error.js';
@@ -88,11 +88,12 @@
   }
 
   /** Resets the connection unless the response is complete. */
-  cancel(reason: string): void {
+  cancel(reason: string, options?: ExchangeErrorOptions): void {
     if (this.isComplete || this.error) return;
     this.cancelReason = new Error(reason);
+    // Aborting reports an error of its own.
+    this.failWith(reason, options);
     this.controller?.abort(this.cancelReason);
-    this.failWith(reason);
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -110,9 +111,9 @@
     headers: IncomingHttpHeaders,
     reasonPhrase?: string,
   ): void {
-    if (status < 200) return;
+    if (status >= 100 && status < 200) return;
     const fault = findHeadFault(status, headers, reasonPhrase);
-    if (fault) return this.cancel(fault);
+    if (fault) return this.cancel(fault, {hasAnswered: true});
     const rawHeaders = decodeRawHeaders(controller.rawHeaders);
     this.responseHead.resolve(succeed({status, headers, rawHeaders}));
   }
@@ -148,6 +149,7 @@
     this.failWith(error.message, {
       isConnectTimeout: code === CONNECT_TIMEOUT_CODE,
       isDisconnect: code !== undefined && DISCONNECT_CODES.has(code),
+      hasAnswered: error instanceof errors.HTTPParserError,
     });
   }
 
--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -197,7 +197,8 @@
     if (signal.aborted) return createAbortedResult(signal);
     const {destination} = this.options;
     this.decision.backend.failures.eject(monotonicMs());
-    if (!this.hasResponded) destination.recordNoResponse();
+    const hasContact = this.hasResponded || error.hasAnswered;
+    if (!hasContact) destination.recordNoResponse();
     if (error.isConnectTimeout) destination.recordConnectTimeout();
     const outcome = error.mayHaveBeenSent
       ? AttemptOutcome.Incomplete
--- a/packages/shared/src/find_head_fault.ts
+++ b/packages/shared/src/find_head_fault.ts
@@ -4,7 +4,8 @@
 /** Characters that a reason phrase can't hold (RFC 9112, section 4). */
 const NOT_REASON_PHRASE = /[^\t\x20-\x7e\u0080-\uffff]/;
 
-/** Highest status that is defined (RFC 9110, section 15). */
+/** Statuses that are defined (RFC 9110, section 15). */
+const MIN_STATUS = 100;
 const MAX_STATUS = 599;
 
 /**
@@ -18,7 +19,7 @@
   headers: IncomingHttpHeaders,
   reasonPhrase = '',
 ): string | undefined {
-  if (status > MAX_STATUS) return `status ${status}`;
+  if (status < MIN_STATUS || status > MAX_STATUS) return `status ${status}`;
   if (NOT_REASON_PHRASE.test(reasonPhrase))
     return 'a control character in the reason phrase';
   const coding: string | readonly string[] | undefined =
