fix(gateway): a cold server gets requests while the owner of its permits is gone

What callers saw: none of their requests reached a cold backend server in the whole stretch ("it got no request while it was cold").

Cause: one entry host, by rendezvous hash, issues the permits for a cold server. Without its reply the others avoid the server, and the lists name a host for 10 s after its end. In the soak p3 is the owner.

Change: where the owner doesn't reply, the host that comes second by the same hash is asked. Servers with a request limit are as before.

--- a/packages/gateway/src/cold_backends/cold_backends.ts
+++ b/packages/gateway/src/cold_backends/cold_backends.ts
@@ -7,6 +7,7 @@
 import type {PeerNotices} from '../peers/peer_notices.js';
 import type {PermitRate} from '../request_limits/permit_rate.js';
 import type {ColdBounds} from './cold_bounds.js';
+import {coldDeputyRate} from './cold_deputy_rate.js';
 import type {ColdFact} from './cold_fact.js';
 import {coldPermitRate} from './cold_permit_rate.js';
 
@@ -46,13 +47,19 @@
   }
 
   /** Rate of the permits for a backend server; none while it needs none. */
-  permitRate({cold, presence}: Backend): PermitRate | undefined {
-    if (!cold.isCold(this.now())) return undefined;
-    const {bounds, configStore} = this.options;
-    const service = configStore.current?.findService(presence.service);
-    const {coldRatePerS = 0} = service ?? {};
-    if (coldRatePerS <= 0) return undefined;
-    return coldPermitRate(coldRatePerS * bounds.overshoot + bounds.allowance);
+  permitRate(backend: Backend): PermitRate | undefined {
+    const maxPerSecond = this.maxPerSecond(backend);
+    return maxPerSecond === undefined
+      ? undefined
+      : coldPermitRate(maxPerSecond);
+  }
+
+  /** Rate of the permits that a deputy of the owner issues; none if it may not. */
+  deputyRate(backend: Backend): PermitRate | undefined {
+    const maxPerSecond = this.maxPerSecond(backend);
+    return maxPerSecond === undefined
+      ? undefined
+      : coldDeputyRate(maxPerSecond);
   }
 
   /** Returns what this host knows of a backend server that is cold. */
@@ -89,6 +96,16 @@
     return {cold: {facts: portion.map(backend => this.factOf(backend))}};
   }
 
+  /** Requests that a cold backend server may get in any second. */
+  private maxPerSecond({cold, presence}: Backend): number | undefined {
+    if (!cold.isCold(this.now())) return undefined;
+    const {bounds, configStore} = this.options;
+    const service = configStore.current?.findService(presence.service);
+    const {coldRatePerS = 0} = service ?? {};
+    if (coldRatePerS <= 0) return undefined;
+    return coldRatePerS * bounds.overshoot + bounds.allowance;
+  }
+
   private list(): Backend[] {
     const nowMs = this.now();
     return this.options.backends.list().filter(({cold}) => cold.isCold(nowMs));
--- a/packages/gateway/src/request_limits/request_limit_manager.ts
+++ b/packages/gateway/src/request_limits/request_limit_manager.ts
@@ -9,6 +9,7 @@
 import type {GatewayMetrics} from '../server/gateway_metrics.js';
 import {PermitClient} from './permit_client.js';
 import {PermitIssuer} from './permit_issuer.js';
+import type {PermitRate} from './permit_rate.js';
 import {PermitVerdict} from './permit_verdict.js';
 import type {RequestLimitFact} from './request_limit_fact.js';
 import type {RequestLimitNotice} from './request_limit_notice.js';
@@ -28,7 +29,10 @@
   readonly backends: BackendPool;
   readonly metrics: Pick<GatewayMetrics, 'countPermit'>;
   /** Backend servers that require permits while they are cold. */
-  readonly cold?: Pick<ColdBackends, 'factOf' | 'merge' | 'permitRate'>;
+  readonly cold?: Pick<
+    ColdBackends,
+    'deputyRate' | 'factOf' | 'merge' | 'permitRate'
+  >;
   /** Returns the ids of the entry hosts; none while they are not known. */
   readonly hostIds: () => readonly string[];
   /** Clock of the permits that this host issues. */
@@ -40,7 +44,9 @@
  * servers name, and below what cold ones stand. Every host learns of a limit;
  * one host, by rendezvous hash, owns such a backend server and issues the permits
  * that each request to it requires. A host that cannot reach the owner sends
- * nothing there.
+ * nothing there, unless the server is cold: then the host that comes second by
+ * the same hash issues a few permits as a deputy, so that the end of one entry
+ * host does not idle the server.
  */
 export class RequestLimitManager extends FactSource {
   private readonly table = new RequestLimitTable();
@@ -124,7 +130,13 @@
     const {id} = backend.presence;
     const fact = this.table.get(backend);
     const owner = chooseOwner(id, this.options.hostIds());
-    const waitMs = await this.askOwner(owner, backend);
+    const ownerWaitMs = await this.askIssuer(owner, backend);
+    const deputy =
+      ownerWaitMs === undefined ? this.deputyOf(backend, owner) : undefined;
+    const waitMs =
+      deputy === undefined
+        ? ownerWaitMs
+        : await this.askIssuer(deputy, backend);
     const verdict =
       waitMs === undefined
         ? PermitVerdict.TimedOut
@@ -142,6 +154,7 @@
       generation: fact?.generation,
       coldForMs: Math.round(backend.cold.leftMs(monotonicMs())),
       owner,
+      deputy,
       verdict,
       waitMs: avoidMs,
     });
@@ -149,19 +162,33 @@
   }
 
   /**
-   * Returns the time until a permit is due, 0 with a permit, or `undefined`
-   * if the owner has not replied.
+   * Chooses the host that issues permits for a cold backend server while the
+   * owner does not reply; none if what the bound leaves is less than a permit.
    */
-  private async askOwner(
+  private deputyOf(
+    backend: Backend,
     owner: string | undefined,
+  ): string | undefined {
+    const {hostIds, cold} = this.options;
+    if (this.isLimited(backend) || !cold?.deputyRate(backend)) return undefined;
+    const others = hostIds().filter(hostId => hostId !== owner);
+    return chooseOwner(backend.presence.id, others);
+  }
+
+  /**
+   * Returns the time until a permit is due, 0 with a permit, or `undefined`
+   * if the owner or deputy has not replied.
+   */
+  private async askIssuer(
+    issuer: string | undefined,
     backend: Backend,
   ): Promise<number | undefined> {
     const {id: ownId, cold} = this.options;
-    if (owner === undefined) return NO_OWNER_WAIT_MS;
-    if (owner === ownId) return this.issue(backend);
+    if (issuer === undefined) return NO_OWNER_WAIT_MS;
+    if (issuer === ownId) return this.issue(backend);
     const limit = this.table.get(backend);
     const coldFact = cold?.permitRate(backend) && cold.factOf(backend);
-    return this.client.ask(owner, id => {
+    return this.client.ask(issuer, id => {
       if (coldFact) return {coldPermitRequest: {id, cold: coldFact, limit}};
       return {permitRequest: limit && {id, fact: limit}};
     });
@@ -189,20 +216,30 @@
     });
   }
 
-  /** Issues a permit to a peer, if this host owns the backend server. */
+  /** Issues a permit to a peer. */
   private issueFor(backendId: string): number {
-    const {id, hostIds, backends} = this.options;
-    const backend = backends.get(backendId);
-    const isOwner = chooseOwner(backendId, hostIds()) === id;
-    return backend && isOwner ? this.issue(backend) : NO_OWNER_WAIT_MS;
+    const backend = this.options.backends.get(backendId);
+    return backend ? this.issue(backend) : NO_OWNER_WAIT_MS;
   }
 
-  /** Issues a permit; none for a backend server that requires none. */
+  /**
+   * Issues a permit, if this host is the owner or the deputy; none for a backend
+   * server that requires none.
+   */
   private issue(backend: Backend): number {
+    const {id: ownId, hostIds, cold} = this.options;
+    const owner = chooseOwner(backend.presence.id, hostIds());
+    if (owner === ownId)
+      return this.issueAt(backend, cold?.permitRate(backend));
+    return this.deputyOf(backend, owner) === ownId
+      ? this.issueAt(backend, cold?.deputyRate(backend))
+      : NO_OWNER_WAIT_MS;
+  }
+
+  private issueAt(backend: Backend, coldRate: PermitRate | undefined): number {
     const fact = this.table.get(backend);
-    const rate = this.options.cold?.permitRate(backend);
-    if (fact) return this.issuer.issue(fact, rate);
-    if (rate) return this.issuer.issueAt(backend.presence.id, rate);
+    if (fact) return this.issuer.issue(fact, coldRate);
+    if (coldRate) return this.issuer.issueAt(backend.presence.id, coldRate);
     return NO_OWNER_WAIT_MS;
   }
 
