fix(gateway): read the first request of a relay connection at a stop

Callers of a host that is cut off from a service got 502 to requests that had not run, when the host that relays for it stopped.

Cause: a stop closes connections without a request as idle. A relaying host opens one for each request and sends once it learns that it is connected; the close resets what it sends by then. As it can't tell whether that was read, the request counts as one that may have run.

The server of relayed requests now keeps a connection until its first request, for the header timeout at most. A host that stops refuses that request as not sent, so that another one gets it.

--- a/packages/gateway/src/server/gateway.ts
+++ b/packages/gateway/src/server/gateway.ts
@@ -8,6 +8,7 @@
 import {
   acceptArrived,
   ClientServer,
+  type ClientServerOptions,
   getLogger,
   HybridClock,
   listen,
@@ -261,8 +262,9 @@
     this.clientServer = this.createServer((req, res) =>
       this.handler.handle(req, res),
     );
-    this.relayServer = this.createServer((req, res) =>
-      this.handler.handleRelayed(req, res),
+    this.relayServer = this.createServer(
+      (req, res) => this.handler.handleRelayed(req, res),
+      {clientsClose: true},
     );
     this.metrics.registerGauges(this.createGauges());
     void this.backends
@@ -511,6 +513,7 @@
 
   private createServer(
     handle: (req: IncomingMessage, res: ServerResponse) => Promise<void>,
+    options: ClientServerOptions = {},
   ): ClientServer {
     return new ClientServer(
       {
@@ -521,7 +524,10 @@
         noDelay: true,
       },
       (req, res) => void handle(req, res),
-      unanswered => this.unanswered.report(unanswered),
+      {
+        onUnanswered: unanswered => this.unanswered.report(unanswered),
+        ...options,
+      },
     );
   }
 
--- a/packages/shared/__tests__/client_server.test.ts
+++ b/packages/shared/__tests__/client_server.test.ts
@@ -92,3 +92,34 @@
     });
   }
 });
+
+describe('a ClientServer that awaits first requests', () => {
+  for (const {name, headersTimeout, isKept} of [
+    {name: 'keeps', headersTimeout: 60_000, isKept: true},
+    {name: 'gives up after the timeout', headersTimeout: 1, isKept: false},
+  ]) {
+    it(`${name} a connection that had none yet`, async () => {
+      const server = new ClientServer(
+        {headersTimeout},
+        (_req, res) => res.end('ok'),
+        {clientsClose: true},
+      );
+      server.listen(0, '127.0.0.1');
+      await once(server, 'listening');
+      const {port} = server.address() as AddressInfo;
+      const socket = connect({port, host: '127.0.0.1'});
+      await once(server, 'connection');
+      const received = readToEnd(socket);
+      server.close();
+      if (isKept) {
+        socket.write(REQUEST);
+        await Promise.race([once(socket, 'data'), received]);
+      }
+      while (server.connectionCount > 0) {
+        server.closeIdleConnections();
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      assert.equal((await received) > 0, isKept);
+    });
+  }
+});
--- a/packages/shared/src/client_server.ts
+++ b/packages/shared/src/client_server.ts
@@ -22,7 +22,10 @@
    * of their requests were read.
    */
   readonly pendingResponses: Map<ServerResponse, number>;
-  /** Bytes that had been read when the last response was handed over. */
+  readonly acceptedMs: number;
+  /**
+   * Bytes that had been read when the last request and its response had ended.
+   */
   bytesRead: number;
   /** When the last response was handed over. */
   respondedMs: number;
@@ -32,6 +35,19 @@
   endReason?: UnansweredReason;
 }
 
+/** Options of a `ClientServer`. */
+export interface ClientServerOptions {
+  /** Called with each request that gets no complete response. */
+  readonly onUnanswered?: (unanswered: UnansweredRequest) => void;
+  /**
+   * Whether clients open a connection for each request and close it. The server
+   * then closes none before its first request, for `headersTimeout` at most, and
+   * none by a response, after which the rest of a body could not arrive. A client
+   * can't tell whether a request that crosses the close was read.
+   */
+  readonly clientsClose?: boolean;
+}
+
 /**
  * HTTP server that closes a connection as idle only after its responses were
  * handed over to the system. Node's own server takes a connection for idle once
@@ -43,13 +59,11 @@
   private isDraining = false;
 
   constructor(
-    options: ServerOptions,
+    serverOptions: ServerOptions,
     listener: RequestListener,
-    private readonly onUnanswered: (
-      unanswered: UnansweredRequest,
-    ) => void = () => undefined,
+    private readonly options: ClientServerOptions = {},
   ) {
-    super(options, (req, res) => {
+    super(serverOptions, (req, res) => {
       if (this.track(req.socket, res)) listener(req, res);
     });
     this.on('connection', socket => this.add(socket));
@@ -60,6 +74,10 @@
     return this.accepted;
   }
 
+  private get announcesClose(): boolean {
+    return this.isDraining && !this.options.clientsClose;
+  }
+
   /** Number of open connections. */
   get connectionCount(): number {
     return this.states.size;
@@ -71,6 +89,7 @@
    */
   startDraining(): void {
     this.isDraining = true;
+    if (!this.announcesClose) return;
     for (const state of this.states.values()) {
       const last = [...state.pendingResponses.keys()].at(-1);
       if (last) announceClose(state, last);
@@ -79,20 +98,14 @@
 
   /**
    * Closes the connections on which no request is in progress, also those that
-   * had none yet: a request that arrives later is not read. While the server
-   * drains, spares those whose last response was handed over a moment ago and did
-   * not say that the connection closes. Also called by `close()`.
+   * had none yet unless `clientsClose`: a request that arrives later is not read.
+   * While the server drains, spares those whose last response was handed over a
+   * moment ago and did not say that the connection closes. Also called by
+   * `close()`.
    */
   override closeIdleConnections(): void {
-    const nowMs = monotonicMs();
     for (const [socket, state] of this.states) {
-      const {pendingResponses, bytesRead, respondedMs} = state;
-      // Bytes that were read since then belong to another request.
-      const isIdle =
-        pendingResponses.size === 0 && socket.bytesRead === bytesRead;
-      const mayGetRequest =
-        this.isDraining && nowMs - respondedMs < CLOSE_DELAY_MS;
-      if (isIdle && !mayGetRequest) socket.destroy();
+      if (this.isIdle(socket, state)) socket.destroy();
     }
   }
 
@@ -109,6 +122,20 @@
     }
   }
 
+  private isIdle(
+    socket: Socket,
+    {pendingResponses, bytesRead, acceptedMs, respondedMs}: ConnectionState,
+  ): boolean {
+    const nowMs = monotonicMs();
+    // Bytes that were read since then belong to another request, or to the body
+    // of one that was refused.
+    if (pendingResponses.size > 0 || socket.bytesRead !== bytesRead)
+      return false;
+    if (this.isDraining && nowMs - respondedMs < CLOSE_DELAY_MS) return false;
+    const isAwaited = this.options.clientsClose && bytesRead === 0;
+    return !isAwaited || nowMs - acceptedMs >= this.headersTimeout;
+  }
+
   /**
    * Tracks a response. Returns whether to handle the request: not if the client
    * has been told before that the connection closes (RFC 9112, section 9.6).
@@ -116,20 +143,27 @@
   private track(socket: Socket, res: ServerResponse): boolean {
     const state = this.states.get(socket);
     if (!state) return false;
+    const {req} = res;
     state.pendingResponses.set(res, monotonicMs());
+    const recordEnd = (): void => {
+      if (req.complete && !state.pendingResponses.has(res))
+        state.bytesRead = socket.bytesRead;
+    };
+    req.once('close', recordEnd);
     res.once('close', () => {
       this.settle(state, res);
-      state.bytesRead = socket.bytesRead;
       state.respondedMs = monotonicMs();
+      recordEnd();
     });
     if (state.lastResponse?.headersSent) return false;
-    if (this.isDraining) announceClose(state, res);
+    if (this.announcesClose) announceClose(state, res);
     return true;
   }
 
   private add(socket: Socket): void {
     const state: ConnectionState = {
       pendingResponses: new Map(),
+      acceptedMs: monotonicMs(),
       bytesRead: 0,
       respondedMs: -Infinity,
     };
@@ -153,7 +187,7 @@
     if (startedMs === undefined) return;
     state.pendingResponses.delete(res);
     if (res.writableFinished) return;
-    this.onUnanswered({
+    this.options.onUnanswered?.({
       req: res.req,
       reason: state.endReason ?? UnansweredReason.Closed,
       ageMs: monotonicMs() - startedMs,
