--- a/packages/shared/__tests__/client_server.test.ts
+++ b/packages/shared/__tests__/client_server.test.ts
@@ -8,6 +8,8 @@
 /** Larger than the buffers of both sockets of a connection. */
 const LARGE_BODY = Buffer.alloc(32 * 1_024 * 1_024);
 const REQUEST = 'GET / HTTP/1.1\r\nHost: main.example\r\n\r\n';
+const UPLOAD =
+  'POST / HTTP/1.1\r\nHost: main.example\r\nContent-Length: 4\r\n\r\nbody';
 
 /** Reads until the connection ends; returns how many bytes there were. */
 async function readToEnd(socket: Socket): Promise<number> {
@@ -90,6 +92,22 @@
       const length = await readToEnd(socket);
       assert.ok(length > LARGE_BODY.length, `${length} bytes were received`);
     });
+
+    it(`${name} spares a connection on which the body of an answered request arrives`, async () => {
+      const [head, body] = [UPLOAD.slice(0, -2), UPLOAD.slice(-2)];
+      const socket = await open(head, 1);
+      responses[0]!.end('refused');
+      await once(responses[0]!, 'close');
+      const {req} = responses[0]!;
+      const read = once(req, 'close');
+      const closed = readToEnd(socket);
+      close();
+      socket.write(body);
+      await Promise.race([read, closed]);
+      assert.ok(req.complete);
+      server.closeIdleConnections();
+      assert.ok((await closed) > 0);
+    });
   }
 });
 
