--- a/packages/gateway/src/connection/exchange.ts
+++ b/packages/gateway/src/connection/exchange.ts
@@ -6,7 +6,7 @@
   succeed,
   type Result,
 } from '@vanillamux/shared';
-import {errors, type Dispatcher} from 'undici';
+import type {Dispatcher} from 'undici';
 import type {ResponseHead} from './response_head.js';
 import type {Connection} from './connection.js';
 import {ExchangeError, type ExchangeErrorOptions} from './exchange_error.js';
@@ -20,6 +20,8 @@
 /** Additional framing per byte of the body; a chunk of one byte has five. */
 const MAX_FRAMING_PER_BODY_BYTE = 8;
 const CONNECT_TIMEOUT_CODE = 'ETIMEDOUT';
+/** Name of the undici client's errors that its parser has raised. */
+const PARSER_ERROR = 'HTTPParserError';
 /** Errors of a connection that its peer has closed or reset. */
 const DISCONNECT_CODES = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
 
@@ -149,7 +151,7 @@
     this.failWith(error.message, {
       isConnectTimeout: code === CONNECT_TIMEOUT_CODE,
       isDisconnect: code !== undefined && DISCONNECT_CODES.has(code),
-      hasAnswered: error instanceof errors.HTTPParserError,
+      hasAnswered: error.name === PARSER_ERROR,
     });
   }
 
