fix: refuse responses in another protocol than HTTP/1

What callers saw: a response that began with HTTP/0.9, HTTP/2.0, RTSP/1.0 or ICE/1.0 as that of a backend server (MIXED, malformed heads).

Cause: the parser of the undici client takes them for HTTP/1, and tells nobody.

Change: the first bytes that are read from a connection have to be those of HTTP/1.0 or HTTP/1.1; otherwise it is closed before the client reads them. The gateway and `packages/entry` use the same check.

--- a/packages/entry/src/checked_client.ts
+++ b/packages/entry/src/checked_client.ts
@@ -1,4 +1,4 @@
-import {onReset} from '@vanillamux/shared';
+import {checkProtocol, onReset} from '@vanillamux/shared';
 import {Client, type Dispatcher} from 'undici';
 import type {CheckedDispatchOptions} from './checked_dispatch_options.js';
 import {createLimitedConnector} from './create_limited_connector.js';
@@ -21,6 +21,7 @@
       connect: (connectOptions, callback) =>
         connect(connectOptions, (...result) => {
           const [, socket] = result;
+          if (socket) checkProtocol(socket);
           if (socket) onReset(socket, () => this.check?.reset());
           socket?.on('end', () => this.check?.resume());
           callback(...result);
--- a/packages/gateway/src/connection/connection.ts
+++ b/packages/gateway/src/connection/connection.ts
@@ -1,5 +1,5 @@
 import type {Socket} from 'node:net';
-import {onReset} from '@vanillamux/shared';
+import {checkProtocol, onReset} from '@vanillamux/shared';
 import {Client} from 'undici';
 import {connectSocket} from './connect_socket.js';
 
@@ -27,6 +27,7 @@
         connectSocket(options, (...result) => {
           const [, socket] = result;
           this.socket = socket ?? undefined;
+          if (socket) checkProtocol(socket);
           // Registered before undici's own listeners, which treat a reset as
           // the end of a response that has no length.
           if (socket) onReset(socket, () => (this.failed = true));
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -3,6 +3,7 @@
 export {addressSchema} from './address_schema.js';
 export {destinationSchema} from './destination_schema.js';
 export {RingBuffer} from './ring_buffer.js';
+export {checkProtocol} from './check_protocol.js';
 export {ClientServer, type ClientServerOptions} from './client_server.js';
 export {confirmEnd} from './confirm_end.js';
 export {configureLogging, type LoggingOptions} from './configure_logging.js';
