fix(consensus): send heartbeats beside entries, on a connection of their own

Callers saw: after a restart of all hosts, or with many entry hosts, a leader steps down soon after its election, and operators' calls and reads wait for the next one.

Cause: a leader has one call to a member under way, and messages on a connection are compressed, sent and read in order.

Change: `ContactKeeper` sends heartbeats while such a call is under way, which match any log. `RpcTransport` has a connection for data and one for the rest. A heartbeat still waits for the disk of the member, so that one with a hanging disk stays silent.

A host whose event loop is late by more than 300 ms still misses heartbeats.

--- a/packages/consensus/__tests__/fake_network.ts
+++ b/packages/consensus/__tests__/fake_network.ts
@@ -31,6 +31,8 @@
   maxDelayMs: number;
   /** Characters that a member receives and handles in a millisecond. */
   charactersPerMs: number;
+  /** Time that entries take beyond it, on a connection of their own. */
+  entriesDelayMs: number;
 }
 
 /** Network between the members of a test, which run in this process. */
@@ -40,6 +42,7 @@
     duplication: 0,
     maxDelayMs: 1,
     charactersPerMs: Infinity,
+    entriesDelayMs: 0,
   };
   /** Time until which each member is busy with what it has received. */
   private readonly busyUntilMs = new Map<string, number>();
@@ -84,7 +87,9 @@
         from,
         to,
         async node => {
-          if (await this.receive(to, characters)) return handle(node);
+          const hasReceived = await this.receive(to, characters);
+          if (characters > 0) await sleep(this.conditions.entriesDelayMs);
+          if (hasReceived) return handle(node);
           throw new Error('the connection was replaced');
         },
         timeoutMs,
--- a/packages/consensus/__tests__/group.test.ts
+++ b/packages/consensus/__tests__/group.test.ts
@@ -5,6 +5,9 @@
 import {MemberRole, RaftRole} from '../src/index.js';
 import {createMember, TEST_TIMING, TestGroup} from './test_group.js';
 
+/** A call with as many may take several election timeouts. */
+const LARGE_ENTRY_CHARACTERS = 600_000;
+
 describe('a group of members', () => {
   let group: TestGroup;
 
@@ -99,6 +102,37 @@
     assert.equal(group.leader()!.node!.status().term, term);
   });
 
+  it('keeps a leader whose entry takes longer than an election timeout', async () => {
+    await createGroup();
+    await group.commit('before');
+    const {node} = group.leader()!;
+    const {term} = node!.status();
+    group.network.conditions.entriesDelayMs = 2 * TEST_TIMING.electionMaxMs;
+    const result = await node!.propose('x'.repeat(LARGE_ENTRY_CHARACTERS));
+    assert.ok(result.ok);
+    assert.equal(node!.status().term, term);
+  });
+
+  it('keeps a leader whose snapshot takes longer than an election timeout', async () => {
+    await createGroup({snapshotEntries: 8, trailingEntries: 2});
+    const leader = group.leader()!;
+    const {term} = leader.node!.status();
+    const [behindId, otherId] = [...group.members.keys()].filter(
+      id => id !== leader.member.id,
+    );
+    await group.crash(behindId!);
+    for (const command of createCommands(40)) await group.commit(command);
+    group.network.conditions.entriesDelayMs = 2 * TEST_TIMING.electionMaxMs;
+    await group.restart(behindId!);
+    await group.crash(otherId!);
+    const {machine} = group.members.get(behindId!)!;
+    await group.waitUntil(
+      'the restarted member has the snapshot',
+      () => machine.commands.length > 0,
+    );
+    assert.equal(leader.node!.status().term, term);
+  });
+
   it('never lets an isolated member raise the term of the others', async () => {
     await createGroup();
     const {term} = group.leader()!.node!.status();
--- a/packages/consensus/src/replicator.ts
+++ b/packages/consensus/src/replicator.ts
@@ -5,6 +5,7 @@
   Wakeup,
   type VmuxError,
 } from '@vanillamux/shared';
+import {ContactKeeper} from './contact_keeper.js';
 import type {LogEntry} from './log_entry.js';
 import type {Member} from './member.js';
 import type {AppendReply} from './messages.js';
@@ -56,12 +57,17 @@
   /** Whether the peer gets entries although a snapshot was considered. */
   private prefersEntries = false;
   private readonly snapshots: SnapshotSender;
+  private readonly contact: ContactKeeper;
   private readonly wakeup = new Wakeup();
 
   constructor(private readonly options: ReplicatorOptions) {
     this.peer = options.peer;
     this.nextIndex = options.state.log.lastIndex + 1;
     this.snapshots = new SnapshotSender(options);
+    this.contact = new ContactKeeper({
+      ...options,
+      onReply: ({term}, sentMs) => this.handleHeartbeatReply(term, sentMs),
+    });
   }
 
   /** Notifies the replicator of new entries or a new commit index. */
@@ -128,7 +134,7 @@
       ? []
       : state.log.slice(this.nextIndex, this.maxCharacters);
     const characters = countCharacters(entries);
-    const result = await transport.append(
+    const call = transport.append(
       this.peer,
       {
         term,
@@ -140,6 +146,8 @@
       },
       timing.callTimeoutMs + characters / MIN_CHARACTERS_PER_MS,
     );
+    const result =
+      entries.length > 0 ? await this.contact.during(call, signal) : await call;
     if (signal.aborted) return false;
     if (!result.ok) {
       this.handleUnanswered(entries, characters, result.error);
@@ -148,12 +156,18 @@
     this.isReplaced = false;
     const reply = result.value;
     if (!this.checkTerm(reply.term)) return false;
-    this.lastContactMs = sentMs;
+    this.lastContactMs = Math.max(this.lastContactMs, sentMs);
     this.applyReply(reply, previousIndex);
     this.options.onContact();
     return true;
   }
 
+  private handleHeartbeatReply(term: number, sentMs: number): void {
+    if (!this.checkTerm(term)) return;
+    this.lastContactMs = Math.max(this.lastContactMs, sentMs);
+    this.options.onContact();
+  }
+
   private applyReply(reply: AppendReply, previousIndex: number): void {
     const {log: raftLog} = this.options.state;
     const wasProbing = this.isProbing;
@@ -199,13 +213,13 @@
   }
 
   private async sendSnapshot(signal: AbortSignal): Promise<boolean> {
-    const result = await this.snapshots.send();
+    const result = await this.contact.during(this.snapshots.send(), signal);
     if (signal.aborted) return false;
     this.isReplaced = !result.ok && isFromAnotherMember(result.error);
     if (!result.ok) return false;
     const {term, sentMs, installedIndex} = result.value;
     if (!this.checkTerm(term)) return false;
-    this.lastContactMs = sentMs;
+    this.lastContactMs = Math.max(this.lastContactMs, sentMs);
     if (installedIndex !== undefined) {
       this.matchIndex = Math.max(this.matchIndex, installedIndex);
       this.nextIndex = this.matchIndex + 1;
--- a/packages/consensus/src/rpc_transport.ts
+++ b/packages/consensus/src/rpc_transport.ts
@@ -15,9 +15,16 @@
 
 type MemberRouter = ReturnType<typeof rpcBuilder.router<{raft: RaftRouter}>>;
 
-/** Sends requests over one WebSocket per member address. */
+/** Connections to one member. */
+interface MemberClients {
+  readonly small: RpcClient<MemberRouter>;
+  /** For what is compressed, so that heartbeats don't wait behind it. */
+  readonly large: RpcClient<MemberRouter>;
+}
+
+/** Sends requests over two WebSockets per member address. */
 export class RpcTransport extends RaftTransport {
-  private readonly clients = new Map<string, RpcClient<MemberRouter>>();
+  private readonly clients = new Map<string, MemberClients>();
 
   /** `hostId` is the id of the calling host. */
   constructor(private readonly hostId: string) {
@@ -29,7 +36,7 @@
     request: VoteRequest,
     timeoutMs: number,
   ): Promise<Result<VoteReply>> {
-    return this.getClient(to).call(
+    return this.getClients(to).small.call(
       (client, signal) =>
         client.raft.vote.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
@@ -41,9 +48,11 @@
     request: AppendRequest,
     timeoutMs: number,
   ): Promise<Result<AppendReply>> {
-    return this.getClient(to).call(
-      (client, signal) =>
-        client.raft.append.mutate({...request, to: to.id}, {signal}),
+    const {small, large} = this.getClients(to);
+    const client = request.entries.length > 0 ? large : small;
+    return client.call(
+      (api, signal) =>
+        api.raft.append.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
     );
   }
@@ -53,7 +62,7 @@
     request: SnapshotRequest,
     timeoutMs: number,
   ): Promise<Result<SnapshotReply>> {
-    return this.getClient(to).call(
+    return this.getClients(to).large.call(
       (client, signal) =>
         client.raft.snapshot.mutate({...request, to: to.id}, {signal}),
       timeoutMs,
@@ -61,17 +70,21 @@
   }
 
   close(): void {
-    for (const client of this.clients.values()) client.close();
+    for (const {small, large} of this.clients.values()) {
+      small.close();
+      large.close();
+    }
     this.clients.clear();
   }
 
-  private getClient({address}: Member): RpcClient<MemberRouter> {
+  private getClients({address}: Member): MemberClients {
     const key = `${address.host}:${address.port}`;
-    let client = this.clients.get(key);
-    if (!client) {
-      client = new RpcClient<MemberRouter>({address, from: this.hostId});
-      this.clients.set(key, client);
+    let clients = this.clients.get(key);
+    if (!clients) {
+      const options = {address, from: this.hostId};
+      clients = {small: new RpcClient(options), large: new RpcClient(options)};
+      this.clients.set(key, clients);
     }
-    return client;
+    return clients;
   }
 }
