fix(gateway): a busy host reads who answers at the end of a body

What callers saw: not seen; a part of a body could pass as whole (MIXED), where another process answers at the server's address while the host is busy for longer than 100 ms. Found at the read-through.

Cause: the timer that gives the question up runs before the answer that has arrived is read, and the check of the listener then takes the other process for the server: the same class of fault as in the stops and probes.

Change: the time is counted in steps, of which a stall takes one.

Evidence: process_checks.test.ts, "read an answer that came while this host was busy", fails before; 10 of 10 pass, and crash_inside_body and forwarding.

--- a/packages/gateway/__tests__/process_checks.test.ts
+++ b/packages/gateway/__tests__/process_checks.test.ts
@@ -1,7 +1,10 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, it} from 'node:test';
+import {setImmediate} from 'node:timers/promises';
+import {Worker} from 'node:worker_threads';
 import type {CheckedProcess} from '../src/connection/checked_process.js';
 import {ConnectionPools} from '../src/connection/connection_pools.js';
 import {ListenerState} from '../src/connection/listener_state.js';
@@ -15,6 +18,15 @@
 const INCARNATION = 7;
 const SAME = {isOther: false, incarnation: INCARNATION};
 
+/** Longer than a backend server is given to answer. */
+const BUSY_MS = 150;
+/** Process that answers while this one is busy. */
+const SERVER = `
+  const {parentPort} = require('node:worker_threads');
+  const server = require('node:http').createServer((req, res) => res.end());
+  server.listen(0, '${HOST}', () => parentPort.postMessage(server.address().port));
+`;
+
 const answer: RequestListener = (req, res) => void res.end('{}');
 
 interface Case {
@@ -67,23 +79,19 @@
 ];
 
 describe('checks of processes', () => {
-  let server: Server;
+  let server: Server | undefined;
   let connections = 0;
 
   afterEach(() => {
-    server.close();
-    server.closeAllConnections();
+    server?.close();
+    server?.closeAllConnections();
   });
 
-  async function createChecks(
+  function createCheck(
+    port: number,
     identity: ReportedIdentity,
-    listener = answer,
     incarnation = INCARNATION,
-  ): Promise<() => Promise<CheckedProcess>> {
-    server = createServer(listener);
-    server.on('connection', () => connections++);
-    await new Promise<void>(resolve => server.listen(0, HOST, resolve));
-    const {port} = server.address() as AddressInfo;
+  ): () => Promise<CheckedProcess> {
     const address = {host: HOST, port};
     const backend = new Backend(createPresence({address, incarnation}));
     const checks = new ProcessChecks({
@@ -96,21 +104,40 @@
     return () => checks.check(backend);
   }
 
+  async function startServer(listener = answer): Promise<number> {
+    server = createServer(listener);
+    server.on('connection', () => connections++);
+    server.listen(0, HOST);
+    await once(server, 'listening');
+    return (server.address() as AddressInfo).port;
+  }
+
   for (const {name, identity, listener, incarnation, expected} of CASES) {
     it(`find that the address is ${expected}: ${name}`, async () => {
-      const check = await createChecks(identity, listener, incarnation);
+      const port = await startServer(listener);
+      const check = createCheck(port, identity, incarnation);
       assert.equal((await check()).state, expected);
     });
   }
 
+  it('read an answer that came while this host was busy', async () => {
+    const worker = new Worker(SERVER, {eval: true});
+    const [port] = (await once(worker, 'message')) as [number];
+    const checking = createCheck(port, {isOther: true})();
+    await setImmediate();
+    Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BUSY_MS);
+    assert.equal((await checking).state, ListenerState.Replaced);
+    await worker.terminate();
+  });
+
   it('find that the address is closed after the end of the process', async () => {
-    const check = await createChecks(SAME);
-    server.close();
+    const check = createCheck(await startServer(), SAME);
+    server!.close();
     assert.equal((await check()).state, ListenerState.Closed);
   });
 
   it('share connections when many bodies end at once', async () => {
-    const check = await createChecks(SAME);
+    const check = createCheck(await startServer(), SAME);
     connections = 0;
     const found = await Promise.all(Array.from({length: ENDS}, check));
     assert.ok(found.every(({state}) => state === ListenerState.Listening));
--- a/packages/gateway/src/connection/process_checks.ts
+++ b/packages/gateway/src/connection/process_checks.ts
@@ -1,13 +1,15 @@
-import {SharedTask} from '@vanillamux/shared';
+import {SharedTask, sleep} from '@vanillamux/shared';
 import type {Dialect} from '../dialect/dialect.js';
 import type {ReportedIdentity} from '../dialect/reported_identity.js';
 import type {Backend} from '../fleet/backend.js';
 import type {CheckedProcess} from './checked_process.js';
 import type {ConnectionPools} from './connection_pools.js';
+import type {Exchange} from './exchange.js';
 import {ListenerState} from './listener_state.js';
 
-/** Time in which a backend server that is not busy answers. */
-const ANSWER_TIMEOUT_MS = 100;
+/** Steps of the time in which a backend server that is not busy answers. */
+const ANSWER_STEPS = 5;
+const ANSWER_STEP_MS = 20;
 /** Incarnation of a backend server that names none. */
 const UNKNOWN_INCARNATION = 0;
 
@@ -60,10 +62,8 @@
     const {path, headers} = dialect.writeIdentityCall(backend.presence.id);
     const request = {method: 'GET' as const, path, headers};
     const exchange = connections.sendOnce(backend, request);
-    const timer = setTimeout(
-      () => exchange.cancel('no answer in time'),
-      ANSWER_TIMEOUT_MS,
-    );
+    const ended = new AbortController();
+    void cancelLate(exchange, ended.signal);
     try {
       exchange.limitBody();
       const head = await exchange.head();
@@ -77,7 +77,17 @@
       }
       return dialect.readIdentity(head.value.status, Buffer.concat(chunks));
     } finally {
-      clearTimeout(timer);
+      ended.abort();
     }
   }
 }
+
+/** Gives an exchange up in steps, of which a time in which this host is busy takes one. */
+async function cancelLate(
+  exchange: Exchange,
+  ended: AbortSignal,
+): Promise<void> {
+  for (let step = 0; step < ANSWER_STEPS && !ended.aborted; step++)
+    await sleep(ANSWER_STEP_MS, ended);
+  if (!ended.aborted) exchange.cancel('no answer in time');
+}
