--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -214,6 +214,18 @@
     assert.equal(hosts.updates.at(-1)?.reports.length, REPORTS - 1);
   });
 
+  it('answers no poll for each report of many services', async () => {
+    const hosts = new PollingHosts();
+    await hosts.start();
+    for (let sequence = 1; sequence <= REPORTS; sequence++) {
+      hosts.registry.receive(report(sequence, {service: `s${sequence}`}));
+      await hosts.settle();
+    }
+    mock.timers.tick(MAX_COLLECT_MS);
+    await hosts.settle();
+    assert.equal(hosts.updates.length, 2 * HOSTS);
+  });
+
   it('encodes reports once for all entry hosts with the same state', async () => {
     const hosts = new PollingHosts({readsPacked: true});
     await hosts.start();
