fix(gateway): tell an empty list of workspaces from a missing one

What callers saw: an operator took the last key away together with its workspace. From then on each request was run on every route that is not anonymous: with the key that was taken away, with a key that never existed and without a key. No request got 401.

Cause: without a list of workspaces no key is required; with one, its keys are accepted. The same confusion of missing and empty ran requests without a key where a workspace has an empty one, and ranked requests by their routes that no key can make.

Why this works: the absence of the list reaches the decision as such (GatewayConfig.workspaces is optional), so that nothing has to guess. Control hosts store the operator's text as before; nothing changes between builds. "Applied a configuration." says requiresKeys, which no line did before.

--- a/packages/gateway/__tests__/admission_policies.test.ts
+++ b/packages/gateway/__tests__/admission_policies.test.ts
@@ -106,4 +106,12 @@
         urgency,
       );
     });
+
+  it('ranks no request if the list of workspaces is empty', () => {
+    const config = createConfig({routes: RANKED, workspaces: []});
+    assert.deepEqual(
+      new AdmissionPolicies().urgencies(config).of('notes', 0, 0),
+      {levelsBelow: 0, levelsAbove: 0},
+    );
+  });
 });
--- a/packages/gateway/__tests__/config.test.ts
+++ b/packages/gateway/__tests__/config.test.ts
@@ -1,6 +1,6 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {checkConfig} from '../src/index.js';
+import {checkConfig, type GatewayConfig} from '../src/index.js';
 import {chooseTarget} from '../src/config/choose_target.js';
 import {RouteTable} from '../src/config/route_table.js';
 import {createConfig, createRoute} from './create_config.js';
@@ -35,6 +35,35 @@
   }
 });
 
+describe('the keys of a RouteTable', () => {
+  const desk = {name: 'desk', priority: 1};
+  const CASES: ReadonlyArray<{
+    readonly name: string;
+    readonly workspaces?: GatewayConfig['workspaces'];
+    readonly requiresKeys: boolean;
+  }> = [
+    {name: 'a list of workspaces is missing', requiresKeys: false},
+    {name: 'it is empty', workspaces: [], requiresKeys: true},
+    {
+      name: 'no workspace has a key',
+      workspaces: [{...desk, keys: []}],
+      requiresKeys: true,
+    },
+    {
+      name: 'a key is empty',
+      workspaces: [{...desk, keys: ['']}],
+      requiresKeys: true,
+    },
+  ];
+  for (const {name, workspaces, requiresKeys} of CASES) {
+    it(`are ${requiresKeys ? '' : 'not '}required if ${name}`, () => {
+      const keyTable = new RouteTable(createConfig({workspaces}));
+      assert.equal(keyTable.requiresKeys, requiresKeys);
+      assert.equal(keyTable.findWorkspace(undefined), undefined);
+    });
+  }
+});
+
 describe('checkConfig', () => {
   const duplicated = createRoute({});
   const CASES = [
--- a/packages/gateway/__tests__/create_config.ts
+++ b/packages/gateway/__tests__/create_config.ts
@@ -43,7 +43,6 @@
     version: 1,
     routes: [createRoute({})],
     services: [{name: 'notes', healthPath: '/', maxConnections: 10}],
-    workspaces: [],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_048_576,
--- a/packages/gateway/__tests__/request_handler.test.ts
+++ b/packages/gateway/__tests__/request_handler.test.ts
@@ -25,6 +25,7 @@
 import {formatRelaySource} from '../src/relay/relay_source.js';
 import {StopGate} from '../src/request/stop_gate.js';
 import {ServiceReach} from '../src/reach/service_reach.js';
+import type {GatewayConfig} from '../src/index.js';
 import {createBackends} from './create_backend.js';
 import {createConfig, createRoute} from './create_config.js';
 
@@ -158,13 +159,17 @@
 ];
 
 /** Components of a host that other ones relay requests to. */
-function createRelayComponents(): GatewayComponents {
+function createRelayComponents(
+  workspaces: GatewayConfig['workspaces'] = [
+    {name: 'desk', keys: [KEY], priority: 1},
+  ],
+): GatewayComponents {
   const {dialect, requestRecorder, metrics} = createComponents(false, {});
   const address = {host: '127.0.0.1', port: 1};
   const config = createConfig({
     version: CONFIG_VERSION,
     routes: [createRoute({pathPrefix: '/known/'})],
-    workspaces: [{name: 'desk', keys: [KEY], priority: 1}],
+    workspaces,
   });
   return createComponents(false, {
     dialect: {
@@ -396,4 +401,17 @@
       );
     });
   }
+
+  // A host of the build before relays these: it checks no key.
+  it('answers 401 to a relayed request if the list of workspaces is empty', async () => {
+    const handler = new RequestHandler(createRelayComponents([]));
+    server.on('request', (req, res) => void handler.handleRelayed(req, res));
+    const {statusCode, headers} = await relayRequest(
+      server,
+      KNOWN,
+      CONFIG_VERSION,
+    );
+    const outcome = headers[RelayHeader.Outcome];
+    assert.deepEqual({status: statusCode, outcome}, NO_KEY);
+  });
 });
--- a/packages/gateway/src/admission/service_urgencies.ts
+++ b/packages/gateway/src/admission/service_urgencies.ts
@@ -21,12 +21,10 @@
     routes,
     workspaces,
   }: Pick<GatewayConfig, 'routes' | 'workspaces'>) {
-    const priorities = new Set(workspaces.map(({priority}) => priority));
+    const priorities = new Set(workspaces?.map(({priority}) => priority));
     for (const route of routes) {
       const requests =
-        route.isAnonymous || priorities.size === 0
-          ? [route.priority]
-          : [...priorities];
+        route.isAnonymous || !workspaces ? [route.priority] : [...priorities];
       for (const {service} of route.targets)
         for (const priority of requests) this.add(service, route, priority);
     }
--- a/packages/gateway/src/config/check_config.ts
+++ b/packages/gateway/src/config/check_config.ts
@@ -56,7 +56,7 @@
   return issues;
 }
 
-function checkKeys({workspaces}: GatewayConfig): ConfigIssue[] {
+function checkKeys({workspaces = []}: GatewayConfig): ConfigIssue[] {
   const owners = new Map<string, string>();
   const issues: ConfigIssue[] = [];
   workspaces.forEach(({name, keys}, index) => {
--- a/packages/gateway/src/config/gateway_config.ts
+++ b/packages/gateway/src/config/gateway_config.ts
@@ -8,6 +8,10 @@
   readonly version: number;
   readonly routes: readonly RouteSpec[];
   readonly services: readonly ServiceSpec[];
-  readonly workspaces: readonly WorkspaceSpec[];
+  /**
+   * Workspaces whose keys are accepted: none if the list is empty. If there is
+   * no list, no key is required.
+   */
+  readonly workspaces?: readonly WorkspaceSpec[];
   readonly limits: ClientLimits;
 }
--- a/packages/gateway/src/config/route_table.ts
+++ b/packages/gateway/src/config/route_table.ts
@@ -12,10 +12,11 @@
   private readonly workspaceByKey = new Map<string, WorkspaceSpec>();
 
   constructor(readonly config: GatewayConfig) {
-    this.hasHomes = [...config.routes, ...config.workspaces].some(
+    const {routes, workspaces = []} = config;
+    this.hasHomes = [...routes, ...workspaces].some(
       ({regions}) => regions !== undefined,
     );
-    for (const route of config.routes) {
+    for (const route of routes) {
       const routesByPrefix = this.routesByHost.get(route.host) ?? new Map();
       routesByPrefix.set(route.pathPrefix, route);
       this.routesByHost.set(route.host, routesByPrefix);
@@ -23,7 +24,7 @@
     this.servicesByName = new Map(
       config.services.map(spec => [spec.name, spec]),
     );
-    for (const workspace of config.workspaces) {
+    for (const workspace of workspaces) {
       for (const key of workspace.keys) this.workspaceByKey.set(key, workspace);
     }
   }
@@ -46,14 +47,14 @@
     return this.servicesByName.get(name);
   }
 
-  /** Returns the workspace to which an API key belongs. */
-  findWorkspace(key: string): WorkspaceSpec | undefined {
-    return this.workspaceByKey.get(key);
+  /** Returns the workspace to which an API key belongs; none without a key. */
+  findWorkspace(key: string | undefined): WorkspaceSpec | undefined {
+    return key === undefined ? undefined : this.workspaceByKey.get(key);
   }
 
-  /** Whether workspaces are declared; without any, no key is checked. */
-  get hasWorkspaces(): boolean {
-    return this.config.workspaces.length > 0;
+  /** Whether routes that are not anonymous require a key of a workspace. */
+  get requiresKeys(): boolean {
+    return this.config.workspaces !== undefined;
   }
 }
 
--- a/packages/gateway/src/homes/home_policy.ts
+++ b/packages/gateway/src/homes/home_policy.ts
@@ -47,9 +47,7 @@
     if (!table?.hasHomes && !regions) return undefined;
     const route = table?.match(req.headers.host ?? '', req.url ?? '');
     const known =
-      workspace === undefined
-        ? undefined
-        : table?.findWorkspace(metadata.key ?? '');
+      workspace === undefined ? undefined : table?.findWorkspace(metadata.key);
     const isKnown = route && known?.name === workspace;
     return isKnown ? allowedRegions(route, known) : regions;
   }
--- a/packages/gateway/src/link/config_store.ts
+++ b/packages/gateway/src/link/config_store.ts
@@ -62,7 +62,8 @@
       version: document.version,
       routes: config.value.routes.length,
       services: config.value.services.length,
-      workspaces: config.value.workspaces.length,
+      workspaces: config.value.workspaces?.length ?? 0,
+      requiresKeys: this.table.requiresKeys,
     });
   }
 }
--- a/packages/gateway/src/request/request_handler.ts
+++ b/packages/gateway/src/request/request_handler.ts
@@ -345,6 +345,6 @@
   route: RouteSpec,
   {key}: RequestMetadata,
 ): ReturnType<RouteTable['findWorkspace']> | 'unknown' {
-  if (route.isAnonymous || !table.hasWorkspaces) return undefined;
-  return table.findWorkspace(key ?? '') ?? 'unknown';
+  if (route.isAnonymous || !table.requiresKeys) return undefined;
+  return table.findWorkspace(key) ?? 'unknown';
 }
