fix(control): decide an evacuation order only while its caller waits

What callers saw: an operator emptied a failure domain, took it back and emptied it again, all acknowledged. A control host that had stood still meanwhile went on, read the order to take back from a connection that the operator had closed, and carried it out. About half of the requests ran in the domain again, until someone noticed.

Cause: an order names the revision that it is based on, so that one that was overtaken is void. But Evacuator.order learned the revision when it read the call, however late, and tried an outdated order again with the newest one: a fresh precondition for an old intent. An acknowledged order that changes nothing also left the revision as it was, so that earlier orders stayed good.

Why this works: a host learns the revision and asks only then whether the caller still waits, before each try; each acknowledged order has a revision of its own. So an order that is decided after its caller gave up and a later one was acknowledged finds another revision, whatever stands still in between. A caller waits if its connection is open and less than 900 ms may have passed since it sent the call, including the time for which this host read nothing.

--- a/packages/control/src/evacuator.ts
+++ b/packages/control/src/evacuator.ts
@@ -1,6 +1,17 @@
 import {RaftRole} from '@vanillamux/consensus';
 import type {EvacuationView} from '@vanillamux/protocol';
-import {succeed, type Result} from '@vanillamux/shared';
+import {
+  ErrorCodes,
+  fail,
+  getLogger,
+  monotonicMs,
+  pollIo,
+  sleep,
+  succeed,
+  VmuxError,
+  type Result,
+} from '@vanillamux/shared';
+import type {Caller} from './caller.js';
 import {CommandKind} from './command_kind.js';
 import {CommandLevel} from './command_level.js';
 import type {EvacuateCommand} from './commands.js';
@@ -15,13 +26,25 @@
 import {proposeCommand} from './propose_command.js';
 import type {RevisedOrder} from './revised_order.js';
 
-/** Tries of an order while others change the emptied failure domains. */
-const MAX_TRIES = 3;
+/** Shorter than the 1 s after which an operator's call tries another host. */
+const ORDER_TIMEOUT_MS = 900;
+/**
+ * Time for the end of a connection to follow a call that was held up on its way:
+ * longer than the shortest retransmission timeout of TCP, 200 ms.
+ */
+const LATE_END_MS = 250;
 const CONFIRM_TIMEOUT_MS = 450;
 
+const log = getLogger('evacuation');
+
 /**
  * Empties failure domains and takes them back, on any control host. Hosts other
  * than the leader forward the call to the leader.
+ *
+ * An order must not undo a later one that was acknowledged, although it may be
+ * read or decided late. It is therefore decided against a revision that was
+ * known while its caller waited, and each acknowledged order has a revision of
+ * its own.
  */
 export class Evacuator {
   private readonly commandLevel: GroupCommandLevel;
@@ -35,20 +58,44 @@
 
   /**
    * Carries out an order; resolves once a quorum has stored it durably. After
-   * an error it is unknown whether it is in force; repeating it is safe.
+   * an error it is unknown whether it is in force; repeating it is safe. Fails
+   * with a `Timeout` once the caller has left or may have given up.
    */
-  async order(order: EvacuationOrder): Promise<Result<EvacuationAnswer>> {
-    let expectedRevision = this.known.revision;
-    for (let tries = 1; ; tries++) {
+  async order(
+    order: EvacuationOrder,
+    caller: Caller,
+  ): Promise<Result<EvacuationAnswer>> {
+    const readMs = monotonicMs();
+    const deadlineMs = readMs + ORDER_TIMEOUT_MS - caller.unreadMs;
+    const isInTime = readMs + LATE_END_MS < deadlineMs;
+    if (isInTime) await sleep(LATE_END_MS, caller.signal);
+    let {revision: expectedRevision} = this.known;
+    for (let tries = 0; ; tries++) {
+      // The end of the connection may have arrived but not been read.
+      await pollIo();
+      const timeoutMs = deadlineMs - monotonicMs();
+      if (caller.signal.aborted || !isInTime || timeoutMs <= 0) {
+        log.info('Did not carry out an evacuation order.', {
+          ...order,
+          hasCallerLeft: caller.signal.aborted,
+          unreadMs: Math.round(caller.unreadMs),
+          elapsedMs: Math.round(monotonicMs() - readMs),
+          expectedRevision,
+          tries,
+        });
+        const message = 'the caller may have given up; send the order again';
+        return fail(new VmuxError(ErrorCodes.Timeout, {message}));
+      }
       const revised = {...order, expectedRevision};
       const result = await this.leader.run(
         LeaderOperation.Evacuate,
         () => this.orderAsLeader(revised),
         (api, signal) => api.evacuation.order.mutate(revised, {signal}),
+        timeoutMs,
       );
       const isOutdated =
         result.ok && result.value.verdict === EvacuationVerdict.Outdated;
-      if (!isOutdated || tries === MAX_TRIES) return result;
+      if (!isOutdated) return result;
       expectedRevision = result.value.revision;
     }
   }
@@ -66,11 +113,17 @@
       return this.confirm(EvacuationVerdict.Outdated);
     const view = planEvacuation(known, order);
     if (!view) return this.confirm(EvacuationVerdict.LimitReached);
-    if (view === known) return this.confirm(EvacuationVerdict.Unchanged);
-    return proposeCommand<EvacuateCommand, EvacuationAnswer>(node, {
-      kind: CommandKind.Evacuate,
-      view,
-    });
+    const result = await proposeCommand<EvacuateCommand, EvacuationAnswer>(
+      node,
+      // An order that changes nothing makes earlier ones void, too.
+      {kind: CommandKind.Evacuate, view: {...view, revision: revision + 1}},
+    );
+    const isUnchanged =
+      view === known &&
+      result.ok &&
+      result.value.verdict === EvacuationVerdict.Changed;
+    if (!isUnchanged) return result;
+    return succeed({...result.value, verdict: EvacuationVerdict.Unchanged});
   }
 
   /** What this host knows, which may be older than what the leader knows. */
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -40,6 +40,8 @@
 export {ControlState} from './control_state.js';
 export {type ControlEndpoint} from './control_endpoint.js';
 export {EntryHostFeed} from './entry_host_feed.js';
+export {type Caller} from './caller.js';
+export {CallerMonitor} from './caller_monitor.js';
 export {EvacuationAction} from './evacuation_action.js';
 export {type EvacuationAnswer} from './evacuation_answer.js';
 export {type EvacuationOrder} from './evacuation_order.js';
--- a/packages/control/src/leader_caller.ts
+++ b/packages/control/src/leader_caller.ts
@@ -39,9 +39,10 @@
     operation: LeaderOperation,
     runLocally: () => Promise<Result<T>>,
     call: ControlCall<T>,
+    timeoutMs = TOTAL_TIMEOUT_MS,
   ): Promise<Result<T>> {
     const startedMs = monotonicMs();
-    const deadlineMs = startedMs + TOTAL_TIMEOUT_MS;
+    const deadlineMs = startedMs + timeoutMs;
     const stages: LeaderCallStage[] = [];
     let result: Result<T> = fail(new VmuxError(ErrorCodes.NoQuorum));
     while (monotonicMs() < deadlineMs) {
--- a/packages/shared/src/index.ts
+++ b/packages/shared/src/index.ts
@@ -43,6 +43,7 @@
 } from './settings_watcher.js';
 export {SharedTask} from './shared_task.js';
 export {sleep} from './sleep.js';
+export {StallMonitor, type StallMonitorOptions} from './stall_monitor.js';
 export {succeed} from './succeed.js';
 export {Timeline, type TimelineOptions} from './timeline.js';
 export {type TimelineEvent} from './timeline_event.js';
