fix(control): favor one small service at a time in the batches of polls

Cause: each change of a service's first two ready servers made a batch of its own, without a bound on such batches.

Evidence: entry_host_feed.test.ts on the code before, 30 reports to 40 hosts: not ok - answers no poll for each report of many services (1200, not 80) not ok - answers no poll for each second server of many services (1160, not 80) Now 80 and 80; the other 20 pass, as do leaving_and_pausing_servers.test.ts, for which those batches were made, and leaving_servers_soak.test.ts (25 of 25).

Why this works: one service at a time makes batches at once, for 250 ms, the longest time for which any change is collected. Changes of other small services are in the next batch. A host may know a server of such a service 250 ms later than before, which is what it waits for a server of any other service.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -226,6 +226,28 @@
     assert.equal(hosts.updates.length, 2 * HOSTS);
   });
 
+  // Each second server of a small service used to make a batch of its own.
+  it('answers no poll for each second server of many services', async () => {
+    const hosts = new PollingHosts();
+    await hosts.start();
+    for (let at = 1; at < REPORTS; at++)
+      hosts.registry.receive(report(at, {service: `s${at}`}));
+    await hosts.settle();
+    mock.timers.tick(MAX_COLLECT_MS);
+    await hosts.settle();
+    hosts.updates.length = 0;
+    for (let at = 1; at < REPORTS; at++) {
+      const address = {host: `10.0.1.${at}`, port: 80};
+      const fields = {id: `second-${at}`, service: `s${at}`, address};
+      hosts.registry.receive(report(at, fields));
+      await hosts.settle();
+    }
+    mock.timers.tick(MAX_COLLECT_MS);
+    await hosts.settle();
+    assert.equal(hosts.updates.length, 2 * HOSTS);
+    assert.equal(hosts.updates.at(-1)?.reports.length, REPORTS - 2);
+  });
+
   it('encodes reports once for all entry hosts with the same state', async () => {
     const hosts = new PollingHosts({readsPacked: true});
     await hosts.start();
--- a/packages/control/src/backend_registry.ts
+++ b/packages/control/src/backend_registry.ts
@@ -111,7 +111,10 @@
       coldChangeMs <= COLD_TOLERANCE_MS &&
       elapsedMs < REFRESH_AFTER_HEARTBEATS * this.options.heartbeatMs;
     if (!isRedundant)
-      this.appendChanges(changes, !isRefresh && this.isRare(current));
+      this.appendChanges(
+        changes,
+        !isRefresh && this.isScarce(current) ? current.service : undefined,
+      );
     return true;
   }
 
@@ -190,7 +193,7 @@
   }
 
   /** Whether a ready server is one of few that its service has. */
-  private isRare({service}: Presence): boolean {
+  private isScarce({service}: Presence): boolean {
     let ready = 0;
     for (const other of this.presenceTable.list())
       if (other.service === service && other.state === PresenceState.Ready)
@@ -200,7 +203,7 @@
 
   private appendChanges(
     changes: readonly Presence[],
-    isRareServer = false,
+    scarceService?: string,
   ): void {
     if (changes.length === 0) return;
     for (const presence of changes) {
@@ -215,7 +218,7 @@
         coldForMs: presence.coldForMs,
       });
     }
-    this.changes.emit({isUrgent: isRareServer || changes.some(isUrgent)});
+    this.changes.emit({isUrgent: changes.some(isUrgent), scarceService});
   }
 }
 
--- a/packages/control/src/change_collector.ts
+++ b/packages/control/src/change_collector.ts
@@ -25,6 +25,8 @@
   private hasChanges = false;
   private isUrgent = false;
   private isCollecting = false;
+  /** Service whose changes make batches at once for now. */
+  private scarceService?: string;
 
   /**
    * `turns` are those in which entry hosts are answered, and `onBatch` is called
@@ -46,6 +48,17 @@
     if (!this.isCollecting) void this.collect();
   }
 
+  /**
+   * Adds a change of a service with few backend servers. It makes a batch in the
+   * next turn, unless those of another service have just done so: a return of
+   * many small services must not make a batch for each.
+   */
+  addScarce(service: string): void {
+    this.hasChanges = true;
+    if (this.scarceService === undefined) void this.favor(service);
+    if (this.scarceService === service) this.addUrgent();
+  }
+
   /** Makes a batch in the next turn, as this change can't wait. */
   addUrgent(): void {
     if (this.isUrgent) return;
@@ -53,6 +66,14 @@
     void this.releaseSoon();
   }
 
+  /** Lets the changes of other services with few servers wait for a while. */
+  private async favor(service: string): Promise<void> {
+    this.scarceService = service;
+    await sleep(MAX_COLLECT_MS);
+    this.scarceService = undefined;
+    if (this.hasChanges) this.add();
+  }
+
   private async collect(): Promise<void> {
     this.isCollecting = true;
     while (this.hasChanges) {
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -12,6 +12,7 @@
 import type {FeedRequest} from './feed_request.js';
 import type {FeedUpdate} from './feed_update.js';
 import type {PackedDocument} from './packed_document.js';
+import type {RegistryChange} from './registry_change.js';
 import {TurnQueue} from './turn_queue.js';
 
 /** Time without a leader after which a control host is no longer current. */
@@ -51,11 +52,7 @@
       .stream()
       .merge(evacuation.revisions.stream())
       .observe(() => this.changes.addUrgent());
-    void registry.changes
-      .stream()
-      .observe(({isUrgent}) =>
-        isUrgent ? this.changes.addUrgent() : this.changes.add(),
-      );
+    void registry.changes.stream().observe(change => this.addChange(change));
   }
 
   /** Polls that have something to be told and wait for their turn. */
@@ -99,6 +96,12 @@
     return this.packedDocument;
   }
 
+  private addChange({isUrgent, scarceService}: RegistryChange): void {
+    if (isUrgent) this.changes.addUrgent();
+    else if (scarceService !== undefined) this.changes.addScarce(scarceService);
+    else this.changes.add();
+  }
+
   private startBatch(): void {
     this.counts.batches++;
     this.batches.clear();
--- a/packages/control/src/registry_change.ts
+++ b/packages/control/src/registry_change.ts
@@ -2,7 +2,9 @@
 export interface RegistryChange {
   /**
    * Whether requests may fail until entry hosts know of it: a backend server
-   * leaves, has left or has become silent, or is one of few of its service.
+   * leaves, has left or has become silent.
    */
   readonly isUrgent: boolean;
+  /** Service of which the backend server is one of few, if it is. */
+  readonly scarceService?: string;
 }
