fix(membership): forget an address that a backend server has left

What callers saw: each backend server of a service restarted once with its id at another address. When servers of another service came up at the old addresses, every request of the first service got 503 for a minute, although its servers were up and got 200 for each heartbeat.

Cause: PresenceTable ends the owner of an address when a later incarnation reports from there. Its index by address kept an address that the id had left, so that the new server there ended the live incarnation elsewhere.

Why this works: the index has an address only for the server that is there now. Control hosts and entry hosts share the table.

--- a/packages/membership/__tests__/presence_table.test.ts
+++ b/packages/membership/__tests__/presence_table.test.ts
@@ -6,6 +6,8 @@
 
 const {Ready, Draining, Silent, Gone} = PresenceState;
 
+const ELSEWHERE = {host: '10.0.0.2', port: 80};
+
 function createReport(fields: Partial<Presence>): Presence {
   return {
     id: 'a',
@@ -74,6 +76,41 @@
     reports: [{incarnation: 3}, {id: 'b', incarnation: 2, sequence: 50}],
     expected: [Ready, 1],
   },
+  // Servers used to be dropped when another one got an address they had left.
+  {
+    name: 'keeps a new incarnation whose former address another one gets',
+    reports: [
+      {},
+      {incarnation: 2, address: ELSEWHERE},
+      {id: 'b', incarnation: 3},
+    ],
+    expected: [Ready, 1],
+  },
+  {
+    name: 'keeps an incarnation that has moved from an address another one gets',
+    reports: [{}, {sequence: 2, address: ELSEWHERE}, {id: 'b', incarnation: 3}],
+    expected: [Ready, 2],
+  },
+  {
+    name: 'keeps a new incarnation after the end of the one at the address',
+    reports: [
+      {},
+      {state: Gone},
+      {incarnation: 2, address: ELSEWHERE},
+      {id: 'b', incarnation: 3},
+      {incarnation: 2, sequence: 2, address: ELSEWHERE},
+    ],
+    expected: [Ready, 2],
+  },
+  {
+    name: 'marks it as gone when a later one has the address that it moved to',
+    reports: [
+      {},
+      {incarnation: 2, address: ELSEWHERE},
+      {id: 'b', incarnation: 3, address: ELSEWHERE},
+    ],
+    expected: [Gone, 1],
+  },
 ];
 
 describe('PresenceTable', () => {
--- a/packages/membership/src/presence_table.ts
+++ b/packages/membership/src/presence_table.ts
@@ -49,6 +49,7 @@
       changes.push(goneReport);
     }
     const stored = {...report, state: mergeState(report, known)};
+    if (known) this.releaseAddress(known);
     this.store(stored);
     if (stored.state !== PresenceState.Gone) {
       this.idByAddress.set(address, stored.id);
@@ -71,8 +72,7 @@
     const presence = this.get(id);
     if (!presence) return;
     this.entries.delete(id);
-    const address = formatAddress(presence.address);
-    if (this.idByAddress.get(address) === id) this.idByAddress.delete(address);
+    this.releaseAddress(presence);
   }
 
   /** Deletes incarnations that ended at least `GONE_TTL_MS` ago. */
@@ -96,6 +96,12 @@
       : previousOwner;
   }
 
+  /** Forgets who has an address, unless it is another backend server by now. */
+  private releaseAddress({id, address}: Presence): void {
+    const key = formatAddress(address);
+    if (this.idByAddress.get(key) === id) this.idByAddress.delete(key);
+  }
+
   private store(presence: Presence): void {
     this.entries.set(presence.id, {presence, changedMs: this.now()});
   }
