--- a/models/evacuation.pml
+++ b/models/evacuation.pml
@@ -21,6 +21,7 @@
  *                     revision
  *   KEEP_REVISION     an order that changes nothing does not advance the revision
  */
+
 /* Revision of the leader, and whether the failure domain is emptied. */
 byte revision;
 bool isEmptied;
--- a/packages/control/src/evacuator.ts
+++ b/packages/control/src/evacuator.ts
@@ -75,16 +75,8 @@
       await pollIo();
       const timeoutMs = deadlineMs - monotonicMs();
       if (caller.signal.aborted || !isInTime || timeoutMs <= 0) {
-        log.info('Did not carry out an evacuation order.', {
-          ...order,
-          hasCallerLeft: caller.signal.aborted,
-          unreadMs: Math.round(caller.unreadMs),
-          elapsedMs: Math.round(monotonicMs() - readMs),
-          expectedRevision,
-          tries,
-        });
-        const message = 'the caller may have given up; send the order again';
-        return fail(new VmuxError(ErrorCodes.Timeout, {message}));
+        const elapsedMs = monotonicMs() - readMs;
+        return rejectLate(order, caller, {elapsedMs, expectedRevision, tries});
       }
       const revised = {...order, expectedRevision};
       const result = await this.leader.run(
@@ -153,3 +145,30 @@
     });
   }
 }
+
+/** What became of an order before it was rejected. */
+interface LateOrder {
+  /** Milliseconds since the order was read. */
+  readonly elapsedMs: number;
+  readonly expectedRevision: number;
+  /** How often the leader has found the order outdated. */
+  readonly tries: number;
+}
+
+/** Rejects an order whose caller has left or may have given up. */
+function rejectLate(
+  order: EvacuationOrder,
+  caller: Caller,
+  {elapsedMs, expectedRevision, tries}: LateOrder,
+): Result<never> {
+  log.info('Did not carry out an evacuation order.', {
+    ...order,
+    hasCallerLeft: caller.signal.aborted,
+    unreadMs: Math.round(caller.unreadMs),
+    elapsedMs: Math.round(elapsedMs),
+    expectedRevision,
+    tries,
+  });
+  const message = 'the caller may have given up; send the order again';
+  return fail(new VmuxError(ErrorCodes.Timeout, {message}));
+}
