--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -221,9 +221,12 @@
     }
     if (message.kind === 'ack') {
       worker.acks.push({...message, atMs: nowMs()});
-      this.note(
-        `${message.by} acknowledges to ${worker.id}: ${message.phase}`,
-      );
+      if (worker.phase !== message.phase || worker.by !== message.by)
+        this.note(
+          `${message.by} acknowledges to ${worker.id}: ${message.phase}`,
+        );
+      worker.phase = message.phase;
+      worker.by = message.by;
     }
   }
 
--- a/review/worker-3.mjs
+++ b/review/worker-3.mjs
@@ -99,9 +99,10 @@
 
 /** Sends the two halves of a body, with a pause between them. */
 async function respond(req, res, id) {
-  const {workMs = 43, pauseMs = 0, unframed = false} = plan;
-  tell({kind: 'run', id, text: `runs ${id} ${req.method} ${req.url}`});
-  await sleep(workMs);
+  const {workMs = 43, pauseMs = 0, unframed = false, isQuiet = false} = plan;
+  if (!isQuiet)
+    tell({kind: 'run', id, text: `runs ${id} ${req.method} ${req.url}`});
+  if (workMs > 0) await sleep(workMs);
   if (unframed) res.useChunkedEncodingByDefault = false;
   const half = 'x'.repeat(400);
   res.writeHead(200, {
@@ -111,7 +112,7 @@
   res.write(half);
   if (pauseMs > 0) await sleep(pauseMs);
   res.end(half);
-  tell({kind: 'run', id, text: `ends ${id}`});
+  if (!isQuiet) tell({kind: 'run', id, text: `ends ${id}`});
 }
 
 function headers(id) {
