--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -83,8 +83,11 @@
   async chooseNetwork() {
     for (let attempt = 0; attempt < 50; attempt++) {
       const network = `127.${2 + Math.floor(Math.random() * 250)}`;
+      const hosts = [1, 2, 3].map(number => `${network}.${number}.1`);
       const free = await Promise.all(
-        Object.values(PORTS).map(port => canListen(`${network}.1.1`, port)),
+        Object.values(PORTS).flatMap(port =>
+          hosts.map(host => canListen(host, port)),
+        ),
       );
       this.network = network;
       if (free.every(Boolean)) return;
@@ -157,6 +160,13 @@
     control.bootstrap = false;
   }
 
+  /** Kills a control host and takes its disk; it may be started again. */
+  loseDisk(control) {
+    control.child.kill('SIGKILL');
+    const folder = join(this.folder, `${control.name}-data`);
+    rmSync(folder, {recursive: true, force: true});
+  }
+
   startGateway(index) {
     const name = `edge-${index + 1}`;
     const ip = `${this.network}.2.${index + 1}`;
