--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -16,6 +16,7 @@
 import {dirname, join} from 'node:path';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {clearTimeout, setTimeout} from 'node:timers';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 
@@ -313,14 +314,18 @@
       isComplete: false,
       sentMs: nowMs(),
     };
-    let timer;
-    const finish = error => {
+    const req = httpRequest(url, {method, headers, agent: false});
+    const timer = setTimeout(() => {
+      finish(new Error('timeout'));
+      req.destroy();
+    }, timeoutMs);
+    function finish(error) {
       clearTimeout(timer);
-      reply.error ??= error && String(error.message ?? error);
-      reply.endMs = nowMs();
+      reply.error ??= error && String(error.message);
+      reply.endMs ??= nowMs();
       resolve(reply);
-    };
-    const req = httpRequest(url, {method, headers, agent: false}, res => {
+    }
+    req.on('response', res => {
       reply.status = res.statusCode;
       reply.headers = res.headers;
       res.setEncoding('utf8');
@@ -330,14 +335,11 @@
         finish();
       });
       res.on('error', finish);
-      res.on('close', () => finish(res.complete ? undefined : 'closed'));
+      res.on('close', () =>
+        finish(res.complete ? undefined : new Error('cut')),
+      );
     });
     req.on('error', finish);
-    timer = setTimeout(() => {
-      reply.error = 'timeout';
-      req.destroy();
-      finish();
-    }, timeoutMs);
     req.end(body);
   });
 }
--- a/review/worker-3.mjs
+++ b/review/worker-3.mjs
@@ -127,6 +127,12 @@
   };
 }
 
+function readBody(req) {
+  return new Promise((resolve, reject) => {
+    req.on('end', resolve).on('error', reject).resume();
+  });
+}
+
 async function handle(req, res) {
   const expected = req.headers['expected-instance'];
   if (expected !== undefined && expected !== plan.id) {
@@ -144,7 +150,7 @@
     return;
   }
   const id = String(req.headers['attempt-id']);
-  for await (const _ of req);
+  await readBody(req);
   running++;
   await (plan.service === 'lm-pool'
     ? stream(req, res, id)
