--- a/review/worker-3.mjs
+++ b/review/worker-3.mjs
@@ -76,25 +76,27 @@
 
 /** Sends events, without a length where the plan says so. */
 async function stream(req, res, id) {
-  const {events = 8, gapMs = 50, unframed = false} = plan;
+  const {events = 8, gapMs = 50, unframed = false, isQuiet = false} = plan;
   const first = Number(req.headers['last-event-id'] ?? 0) + 1;
-  tell({
-    kind: 'run',
-    id,
-    text: `runs ${id} ${req.url} from event ${first} of ${events}`,
-  });
+  if (!isQuiet)
+    tell({
+      kind: 'run',
+      id,
+      text: `runs ${id} ${req.url} from event ${first} of ${events}`,
+    });
   if (unframed) res.useChunkedEncodingByDefault = false;
   res.writeHead(200, {
     ...headers(id),
     'Content-Type': 'text/event-stream',
   });
   for (let event = first; event <= events; event++) {
-    await sleep(gapMs);
+    if (gapMs > 0) await sleep(gapMs);
     if (res.destroyed) return;
     res.write(`id: ${event}\ndata: piece ${event} of ${events}\n\n`);
   }
   res.end();
-  tell({kind: 'run', id, text: `ends ${id} after event ${events}`});
+  if (!isQuiet)
+    tell({kind: 'run', id, text: `ends ${id} after event ${events}`});
 }
 
 /** Sends the two halves of a body, with a pause between them. */
