--- a/review/worker-3.mjs
+++ b/review/worker-3.mjs
@@ -56,7 +56,8 @@
   const reported = phase;
   for (let turn = 0; turn <= plan.controls.length; turn++) {
     const base = nextAddress ?? plan.controls[callee % plan.controls.length];
-    const reply = await call(`${base}/-/workers/${plan.id}/heartbeat`, body);
+    const path = ['', '-', 'workers', plan.id, 'heartbeat'].join('/');
+    const reply = await call(base + path, body);
     if (reply.status === 200) {
       const {heartbeat_addr: address} = JSON.parse(reply.text);
       nextAddress = address ? `http://${address}` : undefined;
