Review 3: cases that start at the same moment take different networks

Of four cases started at once in a fresh clone, 13 and 14 (TROUBLE=0) chose the same loopback network; the worker of 14 couldn't listen and the run never ended. A network is now reserved with a listener until the end, a worker that ends at its start makes the run end with 2, and so does a run of more than 180 s.

--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -30,7 +30,10 @@
   client: 8227,
   ready: 8220,
   metrics: 9464,
+  worker: 8080,
+  reservation: 7399,
 };
+const RUN_LIMIT_MS = 180_000;
 const HEARTBEAT_MS = 1_200;
 export const KEY = 'n2ctnfzs989anu6wsjnb';
 export const HOST = 'main.example';
@@ -52,14 +55,21 @@
   return /^run = "(.*)"$/m.exec(section)[1].split(' ');
 }
 
-function canListen(host, port) {
+/** Resolves to a listening server, or to undefined if the port is in use. */
+function tryListen(host, port) {
   return new Promise(resolve => {
     const server = createServer();
-    server.once('error', () => resolve(false));
-    server.listen(port, host, () => server.close(() => resolve(true)));
+    server.once('error', () => resolve());
+    server.listen(port, host, () => resolve(server.unref()));
   });
 }
 
+async function canListen(host, port) {
+  const server = await tryListen(host, port);
+  if (server) await new Promise(resolve => server.close(resolve));
+  return server !== undefined;
+}
+
 /** A small deployment: three zones, with bounds like those of the small sites. */
 export class Deployment {
   processes = new Set();
@@ -84,6 +94,9 @@
   async chooseNetwork() {
     for (let attempt = 0; attempt < 50; attempt++) {
       const network = `127.${2 + Math.floor(Math.random() * 250)}`;
+      // Held until the end, so that a case beside this one takes another network.
+      const reservation = await tryListen(`${network}.4.1`, PORTS.reservation);
+      if (!reservation) continue;
       const hosts = [1, 2, 3].map(number => `${network}.${number}.1`);
       const free = await Promise.all(
         Object.values(PORTS).flatMap(port =>
@@ -92,6 +105,7 @@
       );
       this.network = network;
       if (free.every(Boolean)) return;
+      reservation.close();
     }
     throw new Error('no free loopback network');
   }
@@ -207,12 +221,15 @@
     });
     this.track(child, id);
     const worker = {id, ip, zone, service, child, runs: [], acks: []};
-    worker.started = new Promise(resolve => (worker.onStarted = resolve));
+    worker.started = new Promise((resolve, reject) => {
+      worker.onStarted = resolve;
+      child.once('exit', () => reject(new Error(`${id} could not start`)));
+    });
     child.on('message', message => this.receive(worker, message));
     child.send({
       kind: 'start',
       id,
-      address: `${ip}:8080`,
+      address: `${ip}:${PORTS.worker}`,
       service,
       zone,
       heartbeatMs: HEARTBEAT_MS,
@@ -450,7 +467,10 @@
   try {
     await deployment.chooseNetwork();
     deployment.note(hasTrouble ? 'with the disruption' : 'without it');
-    code = (await run(deployment)) ? BROKEN : HELD;
+    const limit = sleep(RUN_LIMIT_MS).then(() => {
+      throw new Error('the run took too long');
+    });
+    code = (await Promise.race([run(deployment), limit])) ? BROKEN : HELD;
     deployment.note(code === BROKEN ? 'the rule was broken' : 'the rule held');
   } catch (error) {
     deployment.note(`could not run: ${error.stack}`);
