--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -33,7 +33,7 @@
   worker: 8080,
   reservation: 7399,
 };
-const RUN_LIMIT_MS = 180_000;
+const RUN_LIMIT_MS = 115_000;
 const HEARTBEAT_MS = 1_200;
 export const KEY = 'n2ctnfzs989anu6wsjnb';
 export const HOST = 'main.example';
