--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,4 +1,4 @@
-// Two core machines lose their disks while two others are frozen: no more disks
+// Two core machines lose their disks while two others are cut off: no more disks
 // than the group has to bear. All come back.
 import {readFileSync} from 'node:fs';
 import {dirname, join} from 'node:path';
@@ -12,19 +12,22 @@
   send,
   sleep,
 } from '../harness-3.mjs';
+import {Relay} from '../relay-3.mjs';
 
 const FOLDER = dirname(fileURLToPath(import.meta.url));
 /** Six core machines in three zones; two may be lost at once, or a zone. */
 const CONTROLS = 6;
-const FREEZE_MS = 6_000;
-const DISK_LOSS_AFTER_MS = 4_600;
+const CUT_MS = 4_600;
+/** The longest cut of two core machines in the site file. */
+const MAX_CUT_MS = 4_800;
+const DISK_LOSS_AFTER_MS = 4_300;
 const RESTART_DELAY_MS = 1_000;
 const RECOVERY_MS = 15_000;
 /** Time beyond `recovery_s` in which the operator goes on asking. */
 const PATIENCE_MS = 30_000;
 /** Parts of the disruption, to tell which of them matters. */
-const parts = (process.env.PARTS ?? 'freeze,disks').split(',');
-const freezes = hasTrouble && parts.includes('freeze');
+const parts = (process.env.PARTS ?? 'cut,disks').split(',');
+const cuts = hasTrouble && parts.includes('cut');
 const losesDisks = hasTrouble && parts.includes('disks');
 
 function countMembers(deployment, {name}) {
@@ -44,7 +47,12 @@
 
 await runCase(FOLDER, async deployment => {
   deployment.planControls(CONTROLS);
-  for (const control of deployment.controls) deployment.startControl(control);
+  for (const control of deployment.controls) {
+    control.advertise = `${control.ip}:7340`;
+    control.listen = `${control.ip}:7341`;
+    control.relay = await Relay.start(control.ip, 7340, 7341);
+    deployment.startControl(control);
+  }
   for (let index = 0; index < 3; index++) deployment.startGateway(index);
   await deployment.publish(configuration(1));
   await deployment.waitUntilReady();
@@ -53,28 +61,46 @@
 
   const inZone = zone =>
     deployment.controls.filter(control => control.zone === zone);
-  const frozen = inZone('zone-c');
+  const cut = inZone('zone-c');
   const wiped = deployment.controls.slice(0, 2);
-  const frozenMs = nowMs();
-  if (freezes) {
-    for (const {child} of frozen) child.kill('SIGSTOP');
-    deployment.note(`${frozen.map(({name}) => name).join()} freeze`);
+  const isCutName = name => cut.some(control => control.name === name);
+  const setCut = isCut => {
+    for (const control of deployment.controls) {
+      control.relay.isCut = source =>
+        isCut &&
+        source.startsWith('core-') &&
+        isCutName(source) !== isCutName(control.name);
+      control.relay.update();
+    }
+  };
+  const cutMs = nowMs();
+  if (cuts) {
+    setCut(true);
+    const names = cut.map(({name}) => name).join();
+    deployment.note(`${names} are cut off from the other core machines`);
   }
   await sleep(DISK_LOSS_AFTER_MS - 200);
   await deployment.publish(configuration(2));
-  await sleep(Math.max(0, frozenMs + DISK_LOSS_AFTER_MS - nowMs()));
+  await sleep(Math.max(0, cutMs + DISK_LOSS_AFTER_MS - nowMs()));
   for (const control of deployment.controls)
     for (const reason of countMembers(deployment, control))
       deployment.note(`log of ${control.name}: members changed: ${reason}`);
   if (losesDisks) {
     for (const control of wiped) deployment.loseDisk(control);
     deployment.note(`${wiped.map(({name}) => name).join()} lose their disks`);
-    await sleep(RESTART_DELAY_MS);
+  }
+  await sleep(Math.max(0, cutMs + CUT_MS - nowMs()));
+  setCut(false);
+  const lengthMs = Math.round(nowMs() - cutMs);
+  deployment.note(`no machine is cut off any more, after ${lengthMs} ms`);
+  if (lengthMs > MAX_CUT_MS) throw new Error('the cut was too long');
+  await sleep(
+    Math.max(0, cutMs + DISK_LOSS_AFTER_MS + RESTART_DELAY_MS - nowMs()),
+  );
+  if (losesDisks) {
     for (const control of wiped) deployment.startControl(control);
     deployment.note('they are back with empty disks, bootstrap false');
   }
-  await sleep(Math.max(0, frozenMs + FREEZE_MS - nowMs()));
-  for (const {child} of frozen) child.kill('SIGCONT');
   deployment.note('all machines are back');
 
   await sleep(RECOVERY_MS);
--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -7,6 +7,7 @@
   mkdtempSync,
   openSync,
   readFileSync,
+  renameSync,
   rmSync,
   writeFileSync,
 } from 'node:fs';
@@ -179,7 +180,8 @@
   loseDisk(control) {
     control.child.kill('SIGKILL');
     const folder = join(this.folder, `${control.name}-data`);
-    rmSync(folder, {recursive: true, force: true});
+    // Moved, as removing it takes seconds where the machine is busy.
+    renameSync(folder, `${folder}-lost`);
   }
 
   startGateway(index) {
