fix(control): a group keeps silent voters that its full size needs

Cause: MembershipPolicy removed any voter that was silent for 2 to 3 s, down to three. A removal makes the quorum smaller and gives up the vote and the copy of a disk that is intact. Of six, four were left after the cut; with two lost disks two of four remained, while those that were taken out were refused. On related paths, a silent voter was removed before the learner in its place was a voter, and a group in the middle of a repair was taken for a smaller one.

Now a group shrinks because of silence only as far as it bears as many losses as at its full size: the most voters that were in contact with a leader at the same time, recorded in the list of members, since a new leader could not tell a repair from a small group. A learner is promoted before a silent voter is removed; one whose disk is known to be lost is still removed first. A successor makes the number of voters larger than the recorded size, so the one that it replaces still goes.

--- a/packages/consensus/src/member_schema.ts
+++ b/packages/consensus/src/member_schema.ts
@@ -17,4 +17,9 @@
    * builds don't state it, and know those of level 0.
    */
   commandLevel: z.number().int().min(0).optional(),
+  /**
+   * Most voters of the group that were in contact with a leader at the same time,
+   * the same on every member of a list. Lists of earlier builds don't state it.
+   */
+  groupSize: z.number().int().min(1).optional(),
 });
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -1,5 +1,5 @@
 import {createServer, type Server} from 'node:http';
-import {RaftRole} from '@vanillamux/consensus';
+import {MemberRole, RaftRole} from '@vanillamux/consensus';
 import {serveRpc} from '@vanillamux/rpc';
 import {
   EventKind,
@@ -28,6 +28,8 @@
 
 const log = getLogger('control');
 const MS_PER_SECOND = 1_000;
+/** Silence of a voter from which on it is counted as silent. */
+const SILENT_VOTER_MS = 2_000;
 /** Long, because each sample wakes an idle process. */
 const EVENT_LOOP_SAMPLE_INTERVAL_MS = 200;
 
@@ -143,6 +145,15 @@
   }
 }
 
+function countSilentVoters({node}: ControlHost): number {
+  return node
+    .status()
+    .members.filter(
+      ({role, silentMs = 0}) =>
+        role === MemberRole.Voter && silentMs > SILENT_VOTER_MS,
+    ).length;
+}
+
 async function expireBackends(
   backends: BackendRegistry,
   heartbeatMs: number,
@@ -213,6 +224,11 @@
       'Members of the group, learners included.',
       () => host.node.status().members.length,
     ],
+    [
+      'vmux_control_silent_voters',
+      'Voters that the leader has not heard for 2 s; 0 on the others.',
+      () => countSilentVoters(host),
+    ],
     [
       'vmux_control_leader_silent_seconds',
       'Time since the leader was heard; 0 on a leader with a lease.',
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -16,6 +16,7 @@
 import {LeaveVerdict} from './leave_verdict.js';
 import {MemberLevelRecorder} from './member_level_recorder.js';
 import {MembershipPolicy} from './membership_policy.js';
+import {recordedGroupSize} from './recorded_group_size.js';
 
 const CHECK_INTERVAL_MS = 250;
 /** Time after which a join request that is not renewed is dropped. */
@@ -43,6 +44,10 @@
   private lagReportedMs = Number.NEGATIVE_INFINITY;
   /** Last log index at the previous check while this host was the leader. */
   private previousLastIndex?: number;
+  /** The list of members, and when this host first saw it as the leader. */
+  private listSeen?: {readonly index: number; readonly sinceMs: number};
+  /** Silent voters that were logged. */
+  private readonly reportedSilent = new Set<string>();
 
   constructor(private readonly host: ControlHost) {
     this.levels = new MemberLevelRecorder(host, new GroupCommandLevel(host));
@@ -103,6 +108,7 @@
     return this.changeMembers(
       members.filter(({id}) => id !== memberId),
       `removed ${memberId}`,
+      this.policy.sizeWithout(members, memberId),
     );
   }
 
@@ -112,10 +118,17 @@
       await sleep(CHECK_INTERVAL_MS, signal);
       if (this.host.node.status().role === RaftRole.Leader)
         await this.reconcile();
-      else this.previousLastIndex = undefined;
+      else this.forgetLeadership();
     }
   }
 
+  /** Drops what holds only while this host is the leader. */
+  private forgetLeadership(): void {
+    this.previousLastIndex = undefined;
+    this.listSeen = undefined;
+    this.reportedSilent.clear();
+  }
+
   private storeJoinRequest(
     member: Member,
     isFromOperator: boolean,
@@ -174,11 +187,45 @@
       this.lagReportedMs = monotonicMs();
     }
     this.reportLaggingLearners();
+    this.reportSilentVoters();
+    await this.recordSize();
     const stated = await this.levels.refresh(monotonicMs());
     if (stated)
       await this.changeMembers(stated, 'recorded the levels of commands');
   }
 
+  /** Records the size of the group, by which it keeps silent voters. */
+  private async recordSize(): Promise<void> {
+    const status = this.host.node.status();
+    const {members, membersIndex: index, commitIndex} = status;
+    const nowMs = monotonicMs();
+    if (this.listSeen?.index !== index) this.listSeen = {index, sinceMs: nowMs};
+    if (index > commitIndex) return;
+    const {sinceMs} = this.listSeen;
+    const size = this.policy.sizeToRecord(status, nowMs - sinceMs);
+    if (size === undefined) return;
+    await this.changeMembers(members, `recorded ${size} voters`, size);
+  }
+
+  /** Logs once that a voter is silent, as long as it stays a member. */
+  private reportSilentVoters(): void {
+    const status = this.host.node.status();
+    const silent = this.policy.keptSilentVoters(status);
+    for (const id of this.reportedSilent)
+      if (!silent.some(member => member.id === id))
+        this.reportedSilent.delete(id);
+    for (const {id, silentMs, groupSize} of silent) {
+      if (this.reportedSilent.has(id)) continue;
+      this.reportedSilent.add(id);
+      log.warn('Kept a silent voter, as it may return with its disk.', {
+        member: id,
+        silentMs: Math.round(silentMs ?? 0),
+        groupSize,
+        members: status.members.length,
+      });
+    }
+  }
+
   private reportLaggingLearners(): void {
     const {members, lastIndex} = this.host.node.status();
     const learners = members.filter(({role}) => role === MemberRole.Learner);
@@ -206,6 +253,7 @@
   private async changeMembers(
     members: readonly Member[],
     reason: string,
+    groupSize = recordedGroupSize(this.host.node.status().members),
   ): Promise<Result<void>> {
     const plainMembers = members.map(
       ({id, hostId, failureDomain, address, role, commandLevel}) => ({
@@ -215,6 +263,7 @@
         address,
         role,
         commandLevel,
+        groupSize,
       }),
     );
     const result = await this.host.node.changeMembers(plainMembers);
--- a/packages/control/src/membership_policy.ts
+++ b/packages/control/src/membership_policy.ts
@@ -7,6 +7,7 @@
 import type {JoinRequest} from './join_request.js';
 import {LeaveVerdict} from './leave_verdict.js';
 import type {MemberChange} from './member_change.js';
+import {recordedGroupSize} from './recorded_group_size.js';
 
 /** Silence up to which a member counts as alive. */
 const MAX_LIVE_SILENCE_MS = 2_000;
@@ -38,6 +39,9 @@
  * voter: the group then never needs more live voters than before the loss. A
  * host that is replaced while it runs is a voter beside its successor until it
  * stops, and leaves then.
+ *
+ * A silent voter may come back with its disk, so silence alone never makes the
+ * group bear fewer lost disks than it did at its full size.
  */
 export class MembershipPolicy {
   constructor(private readonly options: MembershipPolicyOptions) {}
@@ -56,8 +60,8 @@
     return (
       this.removeReplaced(status) ??
       this.removeLeaving(status, leavingIds) ??
-      this.promoteLearner(status, caughtUpIndex, leavingIds) ??
       this.removeSurplus(status) ??
+      this.promoteLearner(status, caughtUpIndex, leavingIds) ??
       this.addLearner(status, joinRequests)
     );
   }
@@ -91,11 +95,50 @@
     const voters = members.filter(isVoter);
     return (
       this.options.usesDiscovery &&
-      voters.length > this.minVoters &&
+      voters.length > this.minVoters(members) &&
       voters.length % 2 === 0
     );
   }
 
+  /**
+   * Returns the voters that are silent and stay members, as the group would bear
+   * fewer losses without them.
+   */
+  keptSilentVoters({members}: GroupStatus): MemberStatus[] {
+    return members.filter(
+      member => isVoter(member) && silenceOf(member) > MAX_MEMBER_SILENCE_MS,
+    );
+  }
+
+  /**
+   * Returns the number of voters in contact, if it is to be recorded as the size
+   * of the group; `listAgeMs` is the age of the list of members. A voter counts
+   * if it has answered since the list was set: one that was lost before its
+   * successor became a voter is not counted beside it.
+   */
+  sizeToRecord({members}: GroupStatus, listAgeMs: number): number | undefined {
+    if (!this.options.usesDiscovery) return undefined;
+    const voters = members.filter(isVoter);
+    const maxSilenceMs = Math.min(listAgeMs, MAX_LIVE_SILENCE_MS);
+    const size = voters.filter(
+      member => silenceOf(member) < maxSilenceMs && member.matchIndex !== 0,
+    ).length;
+    const recorded = recordedGroupSize(members);
+    // Until a size is known, voters that are away must not be left out of it.
+    const isNew =
+      recorded === undefined ? size === voters.length : size > recorded;
+    return isNew ? size : undefined;
+  }
+
+  /** Returns the size of the group after an operator has removed a member. */
+  sizeWithout(members: readonly Member[], id: string): number | undefined {
+    const size = recordedGroupSize(members);
+    const isVoterRemoved = members.some(
+      member => member.id === id && isVoter(member),
+    );
+    return size === undefined || !isVoterRemoved ? size : size - 1;
+  }
+
   /** Whether a learner may become a voter in place of another member. */
   private hasSuccessor(members: readonly MemberStatus[]): boolean {
     // A host that has left joins again only if it discovers its group.
@@ -133,10 +176,9 @@
         (member.matchIndex ?? 0) >= caughtUpIndex,
     );
     if (!learner) return undefined;
-    const lostVoter = members.find(
-      member => isVoter(member) && silenceOf(member) > MAX_LIVE_SILENCE_MS,
-    );
-    if (lostVoter) return remove(members, lostVoter, `for ${learner.id}`);
+    const voters = members.filter(isVoter);
+    const isFull = this.options.usesDiscovery && voters.length >= MAX_VOTERS;
+    if (isFull && !voters.some(isSilent)) return undefined;
     return {
       members: members.map(member =>
         member.id === learner.id ? {...member, role: MemberRole.Voter} : member,
@@ -151,7 +193,7 @@
       if (silenceOf(member) <= this.maxSilenceMs(member, voters)) return false;
       // A removed host asks to join again only if it discovers its group.
       if (!isVoter(member)) return this.options.usesDiscovery;
-      return voters.length > this.minVoters;
+      return voters.length > this.minVoters(members);
     });
     return surplus && remove(members, surplus, 'which is silent');
   }
@@ -192,18 +234,29 @@
   private needs(candidate: Member, members: readonly MemberStatus[]): boolean {
     if (members.some(({hostId}) => hostId === candidate.hostId)) return true;
     const voters = members.filter(isVoter);
-    if (this.options.usesDiscovery) return members.length < MAX_VOTERS;
-    if (members.length < this.minVoters) return true;
+    const minVoters = this.minVoters(members);
+    if (this.options.usesDiscovery) {
+      // One more may take the place of a voter that is lost.
+      const places = MAX_VOTERS + (voters.some(isSilent) ? 1 : 0);
+      return members.length < places;
+    }
+    if (members.length < minVoters) return true;
     return (
-      voters.length <= this.minVoters &&
+      voters.length <= minVoters &&
       voters.some(voter => silenceOf(voter) > this.options.replaceAfterMs)
     );
   }
 
-  /** Number of voters up to which a silent one is not removed. */
-  private get minVoters(): number {
+  /**
+   * Number of voters up to which a silent one is not removed: the fewest that
+   * bear as many losses as the group at its full size.
+   */
+  private minVoters(members: readonly Member[]): number {
     const {usesDiscovery, declaredMembers} = this.options;
-    return usesDiscovery ? MIN_VOTERS : declaredMembers;
+    if (!usesDiscovery) return declaredMembers;
+    const size = recordedGroupSize(members) ?? members.filter(isVoter).length;
+    const losses = Math.floor((size - 1) / 2);
+    return Math.max(MIN_VOTERS, 2 * losses + 1);
   }
 }
 
@@ -215,6 +268,10 @@
   return !isVoter(member) && silenceOf(member) <= MAX_LIVE_SILENCE_MS;
 }
 
+function isSilent(member: MemberStatus): boolean {
+  return silenceOf(member) > MAX_LIVE_SILENCE_MS;
+}
+
 function silenceOf({silentMs}: MemberStatus): number {
   return silentMs ?? 0;
 }
