fix(control): acknowledge a departure only where entry hosts hear it

Cause: a backend server reports to one control host, which alone passes the report on to entry hosts. "Acknowledged" meant "stored here". A host that the group had removed has no entry hosts; it asked to join again up to 3 s later; entry hosts heard of a new member with their next answer, up to 5 s later, as a change of the members ended no poll; and they closed the link to a host that responded.

Now a control host acknowledges that a server drains or is gone only while it is a member, follows a leader and does not stop; otherwise it passes the report on to those that poll it and sends 503, upon which the server tells the next host. With a leader the members acknowledge, so no departure is refused by all. A change of the members ends the polls, the link to a host that has left stays while it responds, and a host that hears no leader asks to join each second.

Entry hosts and control hosts of the build before leave `membersIndex` out, and go on as they did.

--- a/packages/control/__tests__/entry_host_feed.test.ts
+++ b/packages/control/__tests__/entry_host_feed.test.ts
@@ -1,9 +1,12 @@
 import assert from 'node:assert/strict';
 import {afterEach, beforeEach, describe, it, mock} from 'node:test';
 import {setImmediate} from 'node:timers/promises';
+import {MemberRole, type GroupStatus, type Member} from '@vanillamux/consensus';
 import {PresenceState, type Presence} from '@vanillamux/protocol';
 import {unpackJson} from '@vanillamux/rpc';
+import {EventBus} from '@vanillamux/shared';
 import {ChecksummedFile, MemoryDisk} from '@vanillamux/storage';
+import type {Stream} from 'most';
 import {
   BackendCensus,
   BackendRegistry,
@@ -20,6 +23,13 @@
 import type {ControlHost} from '../src/control_host.js';
 
 const WAIT_MS = 60_000;
+const member: Member = {
+  id: 'c/1',
+  hostId: 'c',
+  failureDomain: 'fd',
+  address: {host: '127.0.0.1', port: 2},
+  role: MemberRole.Voter,
+};
 const entry = {
   id: 'e',
   failureDomain: 'fd',
@@ -34,14 +44,43 @@
   state.apply(JSON.stringify(command));
 }
 
+/** Raft node of a host that follows a leader. */
+class FakeNode {
+  private readonly applied = new EventBus<number>();
+  private members: readonly Member[] = [];
+  private membersIndex = 0;
+  private appliedIndex = 0;
+
+  status(): Partial<GroupStatus> {
+    const {members, membersIndex, appliedIndex} = this;
+    const isCurrent = true;
+    return {isCurrent, leaderSilentMs: 0, members, membersIndex, appliedIndex};
+  }
+
+  appliedIndexes(): Stream<number> {
+    return this.applied.stream();
+  }
+
+  /** Sets a list of members, which is not yet certain. */
+  append(members: readonly Member[]): void {
+    this.members = members;
+    this.membersIndex = this.appliedIndex + 1;
+  }
+
+  apply(): void {
+    this.applied.emit(++this.appliedIndex);
+  }
+}
+
 /** A feed, and an entry host that has polled it once. */
 async function createFeed(census?: BackendCensus): Promise<{
   readonly state: ControlState;
+  readonly node: FakeNode;
   poll(fields: Partial<FeedRequest>): Promise<FeedUpdate>;
 }> {
   const state = new ControlState();
-  const status = {isCurrent: true, leaderSilentMs: 0, members: []};
-  const host = {stateMachine: state, node: {status: () => status}};
+  const node = new FakeNode();
+  const host = {stateMachine: state, node};
   const registry = new BackendRegistry({heartbeatMs: 1_000});
   const feed = new EntryHostFeed(
     host as unknown as ControlHost,
@@ -54,6 +93,7 @@
   const known = {registryId, position, peersVersion, version: -1};
   return {
     state,
+    node,
     poll: fields =>
       feed.waitForUpdate({entry, ...known, waitMs: WAIT_MS, ...fields}),
   };
@@ -105,6 +145,46 @@
     assert.ok(!('census' in JSON.parse(JSON.stringify(update))));
   });
 
+  // Entry hosts learnt of a host that had joined again with their next poll.
+  for (const membersIndex of [0, undefined]) {
+    const build =
+      membersIndex === undefined ? 'an earlier build' : 'this build';
+    it(`ends the poll of an entry host of ${build} when the members have changed`, async () => {
+      const {node, poll} = await createFeed();
+      const waiting = poll({membersIndex});
+      node.append([member]);
+      node.apply();
+      const {control, membersIndex: told} = await waiting;
+      assert.deepEqual(
+        control.map(({address}) => address),
+        [member.address],
+      );
+      assert.equal(told, 1);
+    });
+  }
+
+  it('tells at once of members that an entry host was not told', async () => {
+    const {node, poll} = await createFeed();
+    node.append([member]);
+    node.apply();
+    await setImmediate();
+    const {control} = await poll({membersIndex: 0});
+    assert.equal(control.length, 1);
+  });
+
+  it('does not end a poll for members that may change back', async () => {
+    const {state, node, poll} = await createFeed();
+    let isAnswered = false;
+    const waiting = poll({membersIndex: 0}).then(() => {
+      isAnswered = true;
+    });
+    node.append([member]);
+    await setImmediate();
+    assert.ok(!isAnswered);
+    state.published.publish({version: 1, digest: '', text: ''});
+    await waiting;
+  });
+
   for (const evacuationRevision of [undefined, 1]) {
     const asked = evacuationRevision === undefined ? 'not asked' : 'known';
     it(`waits for news where the order is ${asked}`, async () => {
@@ -150,11 +230,7 @@
   readonly feed: EntryHostFeed;
 
   constructor(private readonly fields: Partial<FeedRequest> = {}) {
-    const status = {isCurrent: true, leaderSilentMs: 0, members: []};
-    const host = {
-      stateMachine: new ControlState(),
-      node: {status: () => status},
-    };
+    const host = {stateMachine: new ControlState(), node: new FakeNode()};
     this.feed = new EntryHostFeed(
       host as unknown as ControlHost,
       this.registry,
--- a/packages/control/src/control_server.ts
+++ b/packages/control/src/control_server.ts
@@ -24,6 +24,7 @@
 import {LoadReporter} from './load_reporter.js';
 import {MembershipManager} from './membership_manager.js';
 import {Publisher} from './publisher.js';
+import {ReportReceiver} from './report_receiver.js';
 import {ReservationExpirer} from './reservation_expirer.js';
 
 const log = getLogger('control');
@@ -36,8 +37,6 @@
 /** Serves RPC calls and metrics of a control host and runs its tasks. */
 export class ControlServer {
   private readonly stopping = new AbortController();
-  /** Aborted first, as a host that leaves its group must not join again. */
-  private readonly leaving = new AbortController();
 
   private constructor(
     readonly host: ControlHost,
@@ -45,9 +44,11 @@
     readonly publisher: Publisher,
     readonly evacuator: Evacuator,
     private readonly leaderCaller: LeaderCaller,
-    readonly backends: BackendRegistry,
+    readonly reports: ReportReceiver,
     private readonly httpServers: readonly Server[],
     private readonly closeRpc: () => void,
+    /** Aborted first, as a host that leaves its group must not join again. */
+    private readonly leaving: AbortController,
   ) {}
 
   /** Opens the data folder, listens, and starts to join or form the group. */
@@ -66,6 +67,7 @@
     const publisher = new Publisher(host, leaderCaller);
     const evacuator = new Evacuator(host, leaderCaller);
     const backends = new BackendRegistry(settings);
+    const leaving = new AbortController();
     const feed = new EntryHostFeed(host, backends, census);
     const server = createHttpServer(host, backends, feed);
     const router = createControlRouter({
@@ -98,9 +100,10 @@
       publisher,
       evacuator,
       leaderCaller,
-      backends,
+      new ReportReceiver(host, backends, leaving.signal),
       httpServers,
       closeRpc,
+      leaving,
     );
     host.timeline.add(EventKind.Started, `control host ${settings.id}`);
     const {signal} = controlServer.stopping;
--- a/packages/control/src/entry_host_feed.ts
+++ b/packages/control/src/entry_host_feed.ts
@@ -11,12 +11,11 @@
 import type {FeedCounts} from './feed_counts.js';
 import type {FeedRequest} from './feed_request.js';
 import type {FeedUpdate} from './feed_update.js';
+import {followsLeader} from './follows_leader.js';
 import type {PackedDocument} from './packed_document.js';
 import type {RegistryChange} from './registry_change.js';
 import {TurnQueue} from './turn_queue.js';
 
-/** Time without a leader after which a control host is no longer current. */
-const MAX_LEADER_SILENCE_MS = 1_000;
 /** Reports state how long a server stays cold, so they must not be old. */
 const MAX_BATCH_AGE_MS = 100;
 /** Reports and peers from which on content is packed. */
@@ -40,6 +39,8 @@
   private packedDocument?: PackedDocument;
   /** Position of the registry at the last batch. */
   private position = 0;
+  /** Log index of the list of members that entry hosts were told last. */
+  private membersIndex: number;
 
   constructor(
     private readonly host: ControlHost,
@@ -52,6 +53,8 @@
       .stream()
       .merge(evacuation.revisions.stream())
       .observe(() => this.changes.addUrgent());
+    this.membersIndex = host.node.status().membersIndex;
+    void host.node.appliedIndexes().observe(() => this.checkMembers());
     void registry.changes.stream().observe(change => this.addChange(change));
   }
 
@@ -96,6 +99,15 @@
     return this.packedDocument;
   }
 
+  /** Ends the polls when another list of members is certain. */
+  private checkMembers(): void {
+    const {membersIndex, appliedIndex} = this.host.node.status();
+    if (membersIndex === this.membersIndex || membersIndex > appliedIndex)
+      return;
+    this.membersIndex = membersIndex;
+    this.changes.addUrgent();
+  }
+
   private addChange({isUrgent, scarceService}: RegistryChange): void {
     if (isUrgent) this.changes.addUrgent();
     else if (scarceService !== undefined) this.changes.addScarce(scarceService);
@@ -122,8 +134,8 @@
       version: stateMachine.published.version,
       evacuation: stateMachine.evacuation.save(),
       census: this.census?.current(),
-      isCurrent:
-        status.isCurrent && status.leaderSilentMs < MAX_LEADER_SILENCE_MS,
+      isCurrent: followsLeader(status),
+      membersIndex: this.membersIndex,
       control: status.members.map(({address, failureDomain}) => ({
         address,
         failureDomain,
@@ -168,13 +180,15 @@
     position,
     version,
     evacuationRevision = Infinity,
+    membersIndex = this.membersIndex,
   }: FeedRequest): boolean {
     const {published, evacuation} = this.host.stateMachine;
     return (
       registryId !== this.registry.id ||
       position < this.position ||
       published.version > version ||
-      evacuation.view.revision > evacuationRevision
+      evacuation.view.revision > evacuationRevision ||
+      membersIndex !== this.membersIndex
     );
   }
 }
--- a/packages/control/src/feed_request.ts
+++ b/packages/control/src/feed_request.ts
@@ -15,6 +15,11 @@
    * earlier builds leave it out, and are not told of a change.
    */
   readonly evacuationRevision?: number;
+  /**
+   * Log index of the list of members that this control host has told the entry
+   * host; those of earlier builds leave it out.
+   */
+  readonly membersIndex?: number;
   /**
    * Backend servers of each service that the entry host may send requests to,
    * now and then; those of earlier builds leave it out.
--- a/packages/control/src/feed_router.ts
+++ b/packages/control/src/feed_router.ts
@@ -12,6 +12,7 @@
   position: z.number().int().min(0),
   version: z.number().int(),
   evacuationRevision: z.number().int().min(0).optional(),
+  membersIndex: z.number().int().min(0).optional(),
   knownBackends: z.record(z.string(), z.number().int().min(0)).optional(),
   waitMs: z.number().int().min(0).max(MAX_WAIT_MS),
   readsPacked: z.boolean().optional(),
--- a/packages/control/src/feed_update.ts
+++ b/packages/control/src/feed_update.ts
@@ -17,6 +17,11 @@
   readonly census?: Census;
   /** Whether this control host follows a leader that has a quorum. */
   readonly isCurrent: boolean;
+  /**
+   * Log index at which `control` was set; absent from control hosts of earlier
+   * builds.
+   */
+  readonly membersIndex?: number;
   /** Members of the control group. */
   readonly control: readonly ControlEndpoint[];
   readonly peersVersion: number;
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -16,6 +16,8 @@
 const CALL_TIMEOUT_MS = 1_000;
 /** Silence of the leader after which a member asks to be added again. */
 const LEADER_SILENCE_MS = 3_000;
+/** Interval at which a member checks for that, and asks again. */
+const CHECK_INTERVAL_MS = 1_000;
 
 const log = getLogger('members');
 
@@ -62,7 +64,7 @@
    */
   async rejoinWhenRemoved(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await sleep(LEADER_SILENCE_MS, signal);
+      await sleep(CHECK_INTERVAL_MS, signal);
       const {role, leaderSilentMs, members, term, commitIndex, lastIndex} =
         this.host.node.status();
       for (const {address} of members) this.addAddress(address);
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -57,6 +57,8 @@
 export {planEvacuation} from './plan_evacuation.js';
 export {PublishVerdict} from './publish_verdict.js';
 export {Publisher} from './publisher.js';
+export {ReportReceiver} from './report_receiver.js';
+export {ReportVerdict} from './report_verdict.js';
 export {recordQuerySchema} from './record_query_schema.js';
 export {RecordSink} from './record_sink.js';
 export {Recorder, type RecorderOptions} from './recorder.js';
--- a/packages/control/src/membership_manager.ts
+++ b/packages/control/src/membership_manager.ts
@@ -77,6 +77,8 @@
     const status = this.host.node.status();
     if (status.role !== RaftRole.Leader) return this.failAsFollower();
     this.leaveRequestMs.set(memberId, monotonicMs());
+    // It must not be added again because of the request with which it came.
+    this.joinRequests.delete(memberId);
     const verdict = this.policy.judgeLeaving(
       status,
       this.leavingIds(),
@@ -105,6 +107,7 @@
       const message = `no member has the id ${memberId}`;
       return fail(new VmuxError(ErrorCodes.NotFound, {message}));
     }
+    this.joinRequests.delete(memberId);
     return this.changeMembers(
       members.filter(({id}) => id !== memberId),
       `removed ${memberId}`,
--- a/packages/gateway/__tests__/control_links.test.ts
+++ b/packages/gateway/__tests__/control_links.test.ts
@@ -10,11 +10,19 @@
   type PublishedDocument,
 } from '@vanillamux/protocol';
 import {packJson, rpcBuilder, serveRpc} from '@vanillamux/rpc';
-import {Deferred, listen, type Address} from '@vanillamux/shared';
+import {
+  Deferred,
+  formatAddress,
+  listen,
+  sleep,
+  type Address,
+} from '@vanillamux/shared';
+import type {AnyRouter} from '@trpc/server';
 import {z} from 'zod';
 import {ControlLinks, LinkListener} from '../src/index.js';
 
 const HOSTS = 3;
+const POLL_MS = 20;
 const address = {host: '127.0.0.1', port: 1};
 const entry: EntryPeer = {id: 'e', failureDomain: 'fd', address};
 const document: PublishedDocument = {version: 3, digest: 'd', text: '{}'};
@@ -66,7 +74,8 @@
   readonly evacuationRevision = 0;
   readonly knownBackends = undefined;
   peers: readonly EntryPeer[] = [];
-  private contacts = 0;
+  readonly left: string[] = [];
+  private readonly contacts: string[] = [];
 
   get version(): number {
     return this.documents.at(-1)?.version ?? -1;
@@ -76,19 +85,34 @@
     this.reports.push(...batch.reports);
   }
 
-  onControlHostLeft(): void {}
+  onControlHostLeft(host: string): void {
+    this.left.push(host);
+  }
+
+  contactsFrom(host: string): number {
+    return this.contacts.filter(from => from === host).length;
+  }
+
   onEvacuation(): void {}
 
   onDocument(received: PublishedDocument): void {
     this.documents.push(received);
   }
 
-  onContact(contact: {readonly peers?: readonly EntryPeer[]}): void {
+  onContact(contact: {
+    readonly from: string;
+    readonly peers?: readonly EntryPeer[];
+  }): void {
     this.peers = contact.peers ?? this.peers;
-    if (++this.contacts === HOSTS) this.isUpdated.resolve();
+    this.contacts.push(contact.from);
+    if (new Set(this.contacts).size === HOSTS) this.isUpdated.resolve();
   }
 }
 
+async function waitUntil(check: () => boolean): Promise<void> {
+  while (!check()) await sleep(POLL_MS);
+}
+
 describe('the links to control hosts', () => {
   const servers: Server[] = [];
   const closers: Array<() => void> = [];
@@ -111,16 +135,16 @@
       }),
       document: procedure.query(() => build.document),
     });
-    return Promise.all(
-      Array.from({length: HOSTS}, async () => {
-        const server = createServer();
-        servers.push(server);
-        closers.push(serveRpc(server, router({feed})));
-        await listen(server, {host: '127.0.0.1', port: 0});
-        const {port} = server.address() as AddressInfo;
-        return {host: '127.0.0.1', port};
-      }),
-    );
+    return Promise.all(Array.from({length: HOSTS}, () => serveFeed(feed)));
+  }
+
+  async function serveFeed(feed: AnyRouter): Promise<Address> {
+    const server = createServer();
+    servers.push(server);
+    closers.push(serveRpc(server, rpcBuilder.router({feed})));
+    await listen(server, {host: '127.0.0.1', port: 0});
+    const {port} = server.address() as AddressInfo;
+    return {host: '127.0.0.1', port};
   }
 
   afterEach(() => {
@@ -141,4 +165,43 @@
       assert.deepEqual(listener.documents[0], document);
     });
   }
+
+  // A control host outside of the group acknowledged reports that nobody heard.
+  it('stay open to a control host that has left the group, while it responds', async () => {
+    const listener = new RecordingListener();
+    const hosts: Address[] = [];
+    let members = hosts;
+    const feed = rpcBuilder.router({
+      wait: rpcBuilder.procedure.input(earlierRequestSchema).query(async () => {
+        await sleep(POLL_MS);
+        return {
+          registryId: 'r',
+          position: 1,
+          version: -1,
+          isCurrent: true,
+          control: members.map(at => ({address: at, failureDomain: 'fd'})),
+          peersVersion: 1,
+          reports: [],
+        };
+      }),
+    });
+    for (let at = 0; at < HOSTS; at++) hosts.push(await serveFeed(feed));
+    const links = new ControlLinks({entry, seeds: hosts, listener});
+    links.start();
+    await listener.isUpdated.promise;
+    const left = formatAddress(hosts[0]!);
+    members = hosts.slice(1);
+    links.replaceSeeds(members);
+    const contacts = listener.contactsFrom(left);
+    await waitUntil(() => listener.contactsFrom(left) > contacts + HOSTS);
+    assert.deepEqual(listener.left, []);
+    assert.deepEqual(
+      [...links.hosts()].sort(),
+      members.map(formatAddress).sort(),
+    );
+    closers[0]!();
+    await waitUntil(() => listener.left.length > 0);
+    links.stop();
+    assert.deepEqual(listener.left, [left]);
+  });
 });
--- a/packages/gateway/src/link/control_link.ts
+++ b/packages/gateway/src/link/control_link.ts
@@ -54,6 +54,8 @@
   private registryId = '';
   private position = 0;
   private peersVersion = -1;
+  /** List of members that this control host has told, by its log index. */
+  private membersIndex?: number;
   private isResponding = false;
   /** When the known backend servers were last counted for this control host. */
   private countedMs = -Infinity;
@@ -109,6 +111,7 @@
             version: listener.version,
             evacuationRevision: listener.evacuationRevision,
             knownBackends: this.takeCounts(),
+            membersIndex: this.membersIndex,
             readsPacked: true,
           },
           {signal},
@@ -138,6 +141,7 @@
     this.registryId = registryId;
     this.position = update.position;
     this.peersVersion = update.peersVersion;
+    this.membersIndex = update.membersIndex;
     // Before the reports, which may name backend servers there.
     if (update.evacuation) listener.onEvacuation(update.evacuation);
     listener.onReports({from, registryId, reports});
--- a/packages/gateway/src/link/control_links.ts
+++ b/packages/gateway/src/link/control_links.ts
@@ -23,10 +23,16 @@
   readonly listener: LinkListener;
 }
 
-/** Keeps a link to every control host, discovered from a few seeds. */
+/**
+ * Keeps a link to every control host, discovered from a few seeds. The link to one
+ * that has left the group stays while it responds: backend servers may still report
+ * to it, and it may join again.
+ */
 export class ControlLinks extends RecordSink {
   private readonly failureDomains = new Map<string, string>();
   private readonly links = new Map<string, ControlLink>();
+  /** Control hosts with a link that have left the group. */
+  private readonly outsiders = new Set<string>();
   private readonly fetchTurns = new FetchTurns();
   private readonly stopping = new AbortController();
   private seeds: readonly Address[];
@@ -59,7 +65,7 @@
     const rank = (key: string): number =>
       this.failureDomains.get(key) === own ? 0 : 1;
     return [...this.links.entries()]
-      .filter(([, link]) => link.isConnected)
+      .filter(([key, link]) => link.isConnected && !this.outsiders.has(key))
       .map(([key]) => key)
       .sort((a, b) => rank(a) - rank(b) || a.localeCompare(b));
   }
@@ -83,16 +89,35 @@
     }
     const kept = new Set([...addresses, ...this.seeds].map(formatAddress));
     for (const [key, link] of this.links) {
-      if (kept.has(key)) continue;
+      if (kept.has(key)) {
+        this.outsiders.delete(key);
+        continue;
+      }
+      if (link.isConnected) {
+        this.keepOutsider(key);
+        continue;
+      }
       log.info('Closed the link to a control host that left the group.', {
         peer: key,
       });
       link.close();
       this.links.delete(key);
+      this.outsiders.delete(key);
       this.options.listener.onControlHostLeft(key);
     }
   }
 
+  private keepOutsider(key: string): void {
+    if (this.outsiders.has(key)) return;
+    this.outsiders.add(key);
+    log.info(
+      'A control host left the group; its link stays while it responds.',
+      {
+        peer: key,
+      },
+    );
+  }
+
   private connect(address: Address): void {
     const key = formatAddress(address);
     if (this.links.has(key) || this.stopping.signal.aborted) return;
