fix(rpc): a closed client ends a connection without a WebSocket

In a control host, each order to empty a failure domain could leave a connection to a host that accepts connections and does not respond.

Cause: closing a WebSocket waits until it is open. Where the host accepts the connection and never replies to the upgrade, as one that is frozen, or whose server is closing, that never comes.

--- a/packages/rpc/src/connection_watch.ts
+++ b/packages/rpc/src/connection_watch.ts
@@ -26,6 +26,14 @@
     return socket;
   }
 
+  /**
+   * Ends a connection on which the host has not opened the WebSocket, as closing
+   * a WebSocket waits for that, which may never come.
+   */
+  endHandshake(): void {
+    if (this.socket?.bytesRead === 0) this.socket.destroy();
+  }
+
   /** Returns what the connection has delivered until now. */
   mark(): ConnectionMark {
     return {socket: this.socket, bytesRead: this.socket?.bytesRead ?? 0};
--- a/packages/rpc/src/rpc_client.ts
+++ b/packages/rpc/src/rpc_client.ts
@@ -82,6 +82,7 @@
   /** Closes the connection; calls in flight fail. */
   close(): void {
     void this.socket.close();
+    this.watch.endHandshake();
   }
 
   /**
@@ -91,6 +92,7 @@
   private replaceSocket(staleSocket: ReturnType<typeof createWSClient>): void {
     if (this.socket !== staleSocket) return;
     void staleSocket.close();
+    this.watch.endHandshake();
     this.socket = this.connect();
     this.client = this.createClient();
   }
