--- a/packages/control/__tests__/membership_policy.test.ts
+++ b/packages/control/__tests__/membership_policy.test.ts
@@ -421,6 +421,27 @@
     });
   }
 
+  const REMOVALS = [
+    {name: 'a voter', size: 6, removed: 'c/1', expected: 5},
+    {name: 'a learner', size: 6, removed: 'd/1', expected: 6},
+    {name: 'the last voter', size: 1, removed: 'c/1', expected: 1},
+    {name: 'a voter of an earlier build', removed: 'c/1'},
+  ];
+  for (const {name, size, removed, expected} of REMOVALS) {
+    it(`has a size of ${expected} after an operator has removed ${name}`, () => {
+      const policy = new MembershipPolicy({
+        usesDiscovery: true,
+        declaredMembers: 0,
+        replaceAfterMs: REPLACE_AFTER_MS,
+      });
+      const members = [
+        member('c/1', {groupSize: size}),
+        member('d/1', {groupSize: size, isLearner: true}),
+      ];
+      assert.equal(policy.sizeWithout(members, removed), expected);
+    });
+  }
+
   it('repairs a lost disk without ever needing more live voters than before', () => {
     const policy = new MembershipPolicy({
       usesDiscovery: true,
--- a/packages/control/src/feed_update.ts
+++ b/packages/control/src/feed_update.ts
@@ -18,8 +18,8 @@
   /** Whether this control host follows a leader that has a quorum. */
   readonly isCurrent: boolean;
   /**
-   * Log index at which `control` was set; absent from control hosts of earlier
-   * builds.
+   * Log index of the last list of members that was certain; `control` may be newer.
+   * Absent from control hosts of earlier builds.
    */
   readonly membersIndex?: number;
   /** Members of the control group. */
--- a/packages/control/src/membership_policy.ts
+++ b/packages/control/src/membership_policy.ts
@@ -136,7 +136,8 @@
     const isVoterRemoved = members.some(
       member => member.id === id && isVoter(member),
     );
-    return size === undefined || !isVoterRemoved ? size : size - 1;
+    if (size === undefined || !isVoterRemoved) return size;
+    return Math.max(1, size - 1);
   }
 
   /** Whether a learner may become a voter in place of another member. */
