fix(control): a seed that restarts during the first start may found the group

A group is formed when every seed reports that it may found one, and a seed said so only in a process started with `bootstrap`. A restarted process is not: it waited for a group to join, the others for it to found one.

A seed now stores with its identity, before it listens, that the system started for the first time on its disk. A majority of such seeds founds the group, once every seed reports that it knows none: a seed may have ended before it stored anything. Whatever a group has acknowledged, a quorum of its first members had stored its members, and each of them reports a group or has lost its right to found one with its disk; so a second group can't be founded.

--- a/packages/control/src/control_host.ts
+++ b/packages/control/src/control_host.ts
@@ -22,9 +22,10 @@
 import {CommandLevel} from './command_level.js';
 import {ControlState} from './control_state.js';
 import type {ControlSettings} from './control_settings.js';
+import type {DiskIdentity} from './disk_identity.js';
 import type {FormationStatus} from './formation_status.js';
 import {FormationState} from './formation_state.js';
-import {loadMemberId} from './load_member_id.js';
+import {loadDiskIdentity} from './load_disk_identity.js';
 import {RecordStore} from './record_store.js';
 
 const GROUP_FOLDER = 'group';
@@ -45,6 +46,7 @@
     readonly self: Member,
     readonly record: RecordStore,
     private readonly recovered: RecoveredState,
+    private readonly identity: DiskIdentity,
   ) {
     this.timeline = new Timeline({
       host: settings.id,
@@ -73,15 +75,19 @@
       {syncDelayMs},
     );
     if (!recordDisk.ok) return recordDisk;
-    const memberId = await loadMemberId(groupDisk.value, settings.id);
-    if (!memberId.ok) return memberId;
+    const {discovery, id} = settings;
+    const identity = await loadDiskIdentity(
+      groupDisk.value,
+      discovery?.bootstrap ?? false,
+    );
+    if (!identity.ok) return identity;
     const recovered = await RaftStorage.open(groupDisk.value);
     if (!recovered.ok) return recovered;
     const record = await RecordStore.open(recordDisk.value);
     if (!record.ok) return record;
     const self: Member = {
-      id: memberId.value,
-      hostId: settings.id,
+      id: `${id}/${identity.value.diskId}`,
+      hostId: id,
       failureDomain: settings.failureDomain,
       address: settings.advertise ?? settings.listen,
       role: MemberRole.Voter,
@@ -96,7 +102,13 @@
       term: ballot.term,
     });
     return succeed(
-      new ControlHost(settings, self, record.value, recovered.value),
+      new ControlHost(
+        settings,
+        self,
+        record.value,
+        recovered.value,
+        identity.value,
+      ),
     );
   }
 
@@ -108,11 +120,11 @@
   /** Describes this host to those that form or join a group. */
   formationStatus(): FormationStatus {
     const state = this.hasGroup ? FormationState.Formed : FormationState.Empty;
-    const {discovery} = this.settings;
+    const {mayFound = false} = this.identity;
     return {
       state,
       member: this.self,
-      mayFound: discovery ? discovery.bootstrap && this.isSeed : true,
+      mayFound: this.settings.discovery ? mayFound && this.isSeed : true,
       known: this.node.status().members.map(({address}) => address),
     };
   }
@@ -125,21 +137,28 @@
   }
 
   /**
-   * Returns the initial members of a new group, or `undefined` unless every
-   * host that may form it has reported that it may be one of them.
+   * Returns the initial members of a new group from the reports of hosts that
+   * know no group, or `undefined` if it can't be formed. Every host that may form
+   * the group has to report, and a majority that they may found it: the rest may
+   * have ended before they stored that they may. A quorum of an earlier group
+   * would have left no such majority.
    */
   findInitialMembers(
     statuses: readonly FormationStatus[],
   ): Member[] | undefined {
-    const members = this.initialMemberAddresses().flatMap(address => {
-      const status = statuses.find(
-        ({member, mayFound}) =>
-          mayFound && formatAddress(member.address) === formatAddress(address),
+    const addresses = this.initialMemberAddresses();
+    const reports = addresses.flatMap(address => {
+      const report = statuses.find(
+        ({member}) => formatAddress(member.address) === formatAddress(address),
       );
-      return status ? [status.member] : [];
+      return report ? [report] : [];
     });
-    const isComplete = members.length === this.initialMemberAddresses().length;
-    return isComplete ? members : undefined;
+    const founders = reports.filter(({mayFound}) => mayFound);
+    const isComplete = reports.length === addresses.length;
+    const hasQuorum = founders.length > addresses.length / 2;
+    return isComplete && hasQuorum
+      ? reports.map(({member}) => member)
+      : undefined;
   }
 
   private get isSeed(): boolean {
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -1,3 +1,4 @@
+import {isDeepStrictEqual} from 'node:util';
 import {MemberRole, RaftRole, type Member} from '@vanillamux/consensus';
 import {
   ErrorCodes,
@@ -24,13 +25,16 @@
 /**
  * Joins a control host to a group, or forms a new one, and rejoins a group that
  * has removed the host. A new group is formed only when every initial member
- * reports an empty disk; while one of them knows a group, a host with an empty
+ * reports that it knows no group, and a majority that the system starts for the
+ * first time; while one of them knows a group, a host with an empty
  * disk can only join that group.
  */
 export class GroupJoiner {
   private readonly clients: PeerClients;
   private readonly knownAddresses = new Map<string, Address>();
   private hasRequestedJoin = false;
+  /** Counts of the last line about a group that can't be formed yet. */
+  private loggedCounts?: object;
 
   constructor(private readonly host: ControlHost) {
     this.clients = new PeerClients(host.settings.id);
@@ -103,11 +107,18 @@
       }),
     );
     if (statuses.some(({state}) => state === FormationState.Formed)) return;
-    const initialMembers = this.host.findInitialMembers([
-      this.host.formationStatus(),
-      ...statuses,
-    ]);
+    statuses.push(this.host.formationStatus());
+    const initialMembers = this.host.findInitialMembers(statuses);
     if (initialMembers) await this.formGroup(initialMembers);
+    else this.logWaiting(statuses);
+  }
+
+  private logWaiting(statuses: readonly FormationStatus[]): void {
+    const founders = statuses.filter(({mayFound}) => mayFound).length;
+    const counts = {reports: statuses.length, founders};
+    if (isDeepStrictEqual(counts, this.loggedCounts)) return;
+    this.loggedCounts = counts;
+    log.info('Waiting until a group can be formed.', counts);
   }
 
   private async readFormation(
