fix(gateway): an end that nothing proves is continued by another server

At such an end the entry host asks whether the server goes on. One that leaves stops to listen before its last responses end, so its refusal proves nothing; the verdict `unproven` was passed on as a complete response.

Such an attempt is now `unproven` instead of complete. Where the route allows another attempt there is one: a stream goes on after its last event, a repeatable request is repeated. A server that goes on and has no further event confirms that the stream was complete. If no attempt is possible or none succeeds, the response is passed on as it has arrived, as before, with a log line. Whole repeatable responses had the same fault.

--- a/packages/gateway/src/request/attempt.ts
+++ b/packages/gateway/src/request/attempt.ts
@@ -7,6 +7,7 @@
 import type {PlacementDecision} from '../placement/placement_decision.js';
 import {AttemptOutcome} from './attempt_outcome.js';
 import type {AttemptResult} from './attempt_result.js';
+import {UNPROVEN_END} from './unproven_end.js';
 import {createAbortedResult} from './create_aborted_result.js';
 import type {ClientRequest} from './client_request.js';
 import {createBrokenOffError} from './create_broken_off_error.js';
@@ -135,6 +136,8 @@
     if (body instanceof ExchangeError) return this.handleExchangeError(body);
     const {signal} = this.options;
     if (signal.aborted) return createAbortedResult(signal);
+    if (!body.isProvenWhole)
+      return {...UNPROVEN_END, unprovenResponse: {head, body}};
     this.options.onProgress();
     this.decision.backend.failures.recordSuccess(monotonicMs());
     writer.writeComplete(head, body);
--- a/packages/gateway/src/request/attempt_outcome.ts
+++ b/packages/gateway/src/request/attempt_outcome.ts
@@ -10,6 +10,11 @@
   FailureResponse = 'failure_answer',
   /** The request may have run, but no complete response arrived. */
   Incomplete = 'broken',
+  /**
+   * The response ended in order, but nothing proves that it is complete: its
+   * backend server may have ended before that.
+   */
+  Unproven = 'unproven',
   /** The client disconnected, or the deadline passed. */
   Cancelled = 'abandoned',
   /** Another attempt of the same request made progress first. */
--- a/packages/gateway/src/request/attempt_result.ts
+++ b/packages/gateway/src/request/attempt_result.ts
@@ -1,7 +1,6 @@
-import type {ResponseHead} from '../connection/response_head.js';
 import type {Backend} from '../fleet/backend.js';
 import type {AttemptOutcome} from './attempt_outcome.js';
-import type {ReceivedBody} from './received_body.js';
+import type {ReceivedResponse} from './received_response.js';
 
 /** Outcome of an attempt, with its reason. */
 export interface AttemptResult {
@@ -23,8 +22,7 @@
   /** Id of an entry host that such a refusal names instead. */
   readonly referral?: string;
   /** Response with which the backend server reported a server error. */
-  readonly failureResponse?: {
-    readonly head: ResponseHead;
-    readonly body: ReceivedBody;
-  };
+  readonly failureResponse?: ReceivedResponse;
+  /** Whole response of which nothing proves that it is complete. */
+  readonly unprovenResponse?: ReceivedResponse;
 }
--- a/packages/gateway/src/request/request_reporter.ts
+++ b/packages/gateway/src/request/request_reporter.ts
@@ -141,6 +141,21 @@
     });
   }
 
+  /** Reports a response that is passed on although it may be incomplete. */
+  reportUnproven({decision, number}: RunningAttempt): void {
+    log.info(
+      'Passed on a response of which nothing proves that it is complete.',
+      {
+        request: this.request.metadata.requestId,
+        backend: decision.backend.presence.id,
+        attempt: number,
+        sends: this.attempts,
+        events: this.progress.events,
+        ageMs: this.ageMs(),
+      },
+    );
+  }
+
   /** Reports a request that failed and is not retried. */
   reportFailure(runState: RunState, reason: string): void {
     const isNotRun = runState === RunState.NotRun;
--- a/packages/gateway/src/request/request_runner.ts
+++ b/packages/gateway/src/request/request_runner.ts
@@ -25,6 +25,7 @@
 import {PlacementClaim} from './placement_claim.js';
 import {refusalText} from '../admission/refusal_text.js';
 import {refuseAtOnce} from './refuse_at_once.js';
+import type {ReceivedResponse} from './received_response.js';
 import {RequestCandidates} from './request_candidates.js';
 import {RequestReporter} from './request_reporter.js';
 import type {RunningAttempt} from './running_attempt.js';
@@ -85,7 +86,9 @@
   private referral?: string;
   /** Retry-After of a response to a request that did not run. */
   private retryAfterMs = RETRY_AFTER_MS;
-  private failureResponse?: AttemptResult['failureResponse'];
+  private failureResponse?: ReceivedResponse;
+  /** Latest attempt whose response may be complete, although nothing proves it. */
+  private unproven?: EndedAttempt;
 
   constructor(
     private readonly components: GatewayComponents,
@@ -230,6 +233,7 @@
     this.reporter.reportFailedAttempt(result, attempt);
     this.failureResponse = result.failureResponse ?? this.failureResponse;
     this.retryAfterMs = result.retryAfterMs ?? this.retryAfterMs;
+    if (outcome === AttemptOutcome.Unproven) this.unproven = {attempt, result};
     return this.mayStartAttempt ? undefined : reason;
   }
 
@@ -496,18 +500,35 @@
     return isRetryable(route) && this.possibleRuns < route.maxAttempts;
   }
 
-  private finishCompleted({attempt, result}: EndedAttempt): void {
+  private finishCompleted({attempt}: EndedAttempt): void {
     this.reporter.reportOutcome(
-      result.outcome,
+      AttemptOutcome.Completed,
       RunState.Done,
       undefined,
       attempt.decision,
     );
   }
 
+  /** Whether what has arrived may be the complete response. */
+  private get mayBeComplete(): boolean {
+    return this.writer.hasSentHead
+      ? (this.progress.mayBeComplete ?? false)
+      : this.unproven?.result.unprovenResponse !== undefined;
+  }
+
+  /** Ends a response that no other attempt can prove to be complete. */
+  private finishUnproven(unproven: EndedAttempt): void {
+    const {unprovenResponse: response} = unproven.result;
+    if (this.writer.hasSentHead) this.writer.end();
+    else if (response) this.writer.writeComplete(response.head, response.body);
+    this.reporter.reportUnproven(unproven.attempt);
+    this.finishCompleted(unproven);
+  }
+
   /** Reports the failure and ends the response; no attempt follows. */
   private finishFailed(reason: string): void {
-    const {request, writer, failureResponse, reporter} = this;
+    const {request, writer, failureResponse, reporter, unproven} = this;
+    if (unproven && this.mayBeComplete) return this.finishUnproven(unproven);
     if (writer.hasSentHead) {
       reporter.reportFailure(RunState.Unknown, reason);
       return writer.abort();
@@ -531,8 +552,11 @@
   }
 
   private finishCancelled(): void {
-    const {request, writer, reporter} = this;
+    const {request, writer, reporter, unproven} = this;
     const {res, signal} = request;
+    const isTimeOver = signal.reason === AbortReason.DeadlineExceeded;
+    if (isTimeOver && unproven && this.mayBeComplete)
+      return this.finishUnproven(unproven);
     const hasArrived = this.possibleArrivals > 0;
     const runState = hasArrived ? RunState.Unknown : RunState.NotRun;
     reporter.reportOutcome(
@@ -540,7 +564,7 @@
       runState,
       String(signal.reason),
     );
-    if (signal.reason !== AbortReason.DeadlineExceeded) return;
+    if (!isTimeOver) return;
     reporter.reportDeadlineExceeded();
     if (writer.hasSentHead) return writer.abort();
     sendErrorResponse(res, {
--- a/packages/gateway/src/request/stream_attempt.ts
+++ b/packages/gateway/src/request/stream_attempt.ts
@@ -13,6 +13,7 @@
 import {EndVerdict} from './end_verdict.js';
 import {EventSplitter} from './event_splitter.js';
 import type {StreamProgress} from './stream_progress.js';
+import {UNPROVEN_END} from './unproven_end.js';
 
 const FIRST_NON_SUCCESS_STATUS = 300;
 
@@ -43,6 +44,7 @@
     const nowMs = monotonicMs();
     const pauseMs = nowMs - (progress.lastEventMs ?? nowMs);
     progress.events += count;
+    progress.mayBeComplete = false;
     progress.firstEventMs ??= nowMs;
     progress.lastEventMs = nowMs;
     progress.longestPauseMs = Math.max(progress.longestPauseMs ?? 0, pauseMs);
@@ -96,8 +98,10 @@
     }
     // A stream is complete if its end falls between events; the exchange itself
     // fails on a reset. Without framing, an end before any event is that of the
-    // connection alone, and one after it may be that of the server.
-    const hasEnded = hasEvents || isFramed(head);
+    // connection alone, and one after it may be that of the server. A stream that
+    // was resumed after its last event has no further one.
+    const hasEnded =
+      hasEvents || isFramed(head) || (progress.mayBeComplete ?? false);
     if (!hasEnded || splitter.takeRemainder().length > 0) {
       return this.handleExchangeError(
         new ExchangeError(true, 'ended inside an event', {isDisconnect: true}),
@@ -107,6 +111,10 @@
     if (signal.aborted) return createAbortedResult(signal);
     if (verdict === EndVerdict.Broken)
       return this.handleExchangeError(createBrokenOffError());
+    if (verdict === EndVerdict.Unproven) {
+      progress.mayBeComplete = true;
+      return UNPROVEN_END;
+    }
     this.startForwarding(head);
     this.decision.backend.failures.recordSuccess(monotonicMs());
     writer.end();
--- a/packages/gateway/src/request/stream_progress.ts
+++ b/packages/gateway/src/request/stream_progress.ts
@@ -7,6 +7,11 @@
   firstEventMs?: number;
   /** When the last event was forwarded. */
   lastEventMs?: number;
+  /**
+   * Whether the last attempt ended in order after an event, so that no event may
+   * be missing, although nothing proves it.
+   */
+  mayBeComplete?: boolean;
   /** Longest pause between two events. */
   longestPauseMs?: number;
 }
