fix(control): the first seed stores its group before it tells the others

The first seed sent the list of members and stored it afterwards. Killed between, it could form another group from its reports, one of which was older than the first group, while another seed had lost its disk: the second group would have acknowledged changes beside the first.

The first seed now stores the list and then sends it. If it is killed it knows its group, and the others vote for it and learn the group as its followers.

--- a/packages/control/__tests__/first_start.test.ts
+++ b/packages/control/__tests__/first_start.test.ts
@@ -1,23 +1,34 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import {mkdtempSync, rmSync} from 'node:fs';
+import {createServer, type AddressInfo} from 'node:net';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import {afterEach, beforeEach, describe, it} from 'node:test';
+import {monotonicMs, sleep} from '@vanillamux/shared';
 import {NodeDisk} from '@vanillamux/storage';
 import {ControlHost} from '../src/control_host.js';
 import type {FormationStatus} from '../src/formation_status.js';
-import {controlSettingsSchema} from '../src/index.js';
+import {ControlServer} from '../src/control_server.js';
+import {
+  ControlClient,
+  controlSettingsSchema,
+  type ControlSettings,
+} from '../src/index.js';
 import {loadDiskIdentity} from '../src/load_disk_identity.js';
 
-const SEEDS = ['127.0.0.1', '127.0.0.2', '127.0.0.3'];
-const PORT = 1;
+const SEEDS = ['127.0.0.31', '127.0.0.32', '127.0.0.33'];
+const POLL_MS = 50;
+const TIMEOUT_MS = 12_000;
 
 // A seed that was restarted before the group was formed kept it from forming.
 describe('the first start of a control group', () => {
   let folders: string[];
   let hosts: ControlHost[];
+  let port: number;
 
-  beforeEach(() => {
+  beforeEach(async () => {
+    port = await findFreePort();
     folders = SEEDS.map(() => createFolder());
     hosts = [];
   });
@@ -27,20 +38,22 @@
     for (const folder of folders) rmSync(folder, {recursive: true});
   });
 
+  function createSettings(index: number, bootstrap: boolean): ControlSettings {
+    return controlSettingsSchema.parse({
+      id: `control-${index}`,
+      failureDomain: 'fd',
+      listen: `${SEEDS[index]}:${port}`,
+      dataFolder: folders[index],
+      discovery: {
+        seeds: SEEDS.map(seed => `${seed}:${port}`),
+        peerPort: port,
+        bootstrap,
+      },
+    });
+  }
+
   async function open(index: number, bootstrap: boolean): Promise<ControlHost> {
-    const host = await ControlHost.open(
-      controlSettingsSchema.parse({
-        id: `control-${index}`,
-        failureDomain: 'fd',
-        listen: `${SEEDS[index]}:${PORT}`,
-        dataFolder: folders[index],
-        discovery: {
-          seeds: SEEDS.map(seed => `${seed}:${PORT}`),
-          peerPort: PORT,
-          bootstrap,
-        },
-      }),
-    );
+    const host = await ControlHost.open(createSettings(index, bootstrap));
     assert.ok(host.ok);
     hosts.push(host.value);
     return host.value;
@@ -100,6 +113,27 @@
     assert.equal(hosts[0]!.findInitialMembers(statuses), undefined);
   });
 
+  // The first seed stores the members before it sends them to the others.
+  it('forms the group that a killed first seed has told nobody of', async () => {
+    for (const index of SEEDS.keys()) await open(index, true);
+    const members = hosts.map(({self}) => self);
+    await hosts[0]!.formGroup(members);
+    for (const host of hosts.splice(0)) await host.close();
+    const servers: ControlServer[] = [];
+    for (const index of SEEDS.keys()) {
+      const server = await ControlServer.start(createSettings(index, false));
+      assert.ok(server.ok);
+      servers.push(server.value);
+    }
+    const client = new ControlClient(SEEDS.map(host => ({host, port})));
+    try {
+      assert.ok(await isServed(client));
+    } finally {
+      client.close();
+      await Promise.all(servers.map(server => server.stop()));
+    }
+  });
+
   it('keeps the member id of a disk of the build before', async () => {
     const disk = await NodeDisk.openFolder(folders[0]!);
     assert.ok(disk.ok);
@@ -112,6 +146,28 @@
   });
 });
 
+/** Whether a leader with a quorum answers in time. */
+async function isServed(client: ControlClient): Promise<boolean> {
+  const deadlineMs = monotonicMs() + TIMEOUT_MS;
+  while (monotonicMs() < deadlineMs) {
+    const result = await client.callLeader((api, signal) =>
+      api.declarations.current.query(undefined, {signal}),
+    );
+    if (result.ok) return true;
+    await sleep(POLL_MS);
+  }
+  return false;
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, SEEDS[0]);
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
 function createFolder(): string {
   return mkdtempSync(join(tmpdir(), 'vmux-first-start-'));
 }
--- a/packages/control/src/group_joiner.ts
+++ b/packages/control/src/group_joiner.ts
@@ -133,13 +133,18 @@
     return result.ok ? result.value : undefined;
   }
 
-  /** Sends the member list to the others, on the first of the members only. */
+  /**
+   * Forms the group, on the first of the members only. It stores the list of
+   * members before it sends it to the others: if it is killed between, it must not
+   * form another group.
+   */
   private async formGroup(members: readonly Member[]): Promise<void> {
     if (members[0]?.id !== this.host.self.id) return;
     const voters = members.map(member => ({
       ...member,
       role: MemberRole.Voter,
     }));
+    await this.host.formGroup(voters);
     const results = await Promise.all(
       voters
         .filter(({id}) => id !== this.host.self.id)
@@ -155,7 +160,6 @@
     if (results.some(result => !result.ok)) {
       log.warn('Not every host accepted the members of the new group.');
     }
-    await this.host.formGroup(voters);
   }
 
   /** Asks a host to join, and the leader that it names, if it does. */
